--- /dev/null
+++ b/cmd/zinniayoke/demo.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"zinniayoke/io/zydemo"
+)
+
+// errBroken says that a demo saw a broken promise.
+var errBroken = errors.New("a promise was broken")
+
+func demoCommand() *cli.Command {
+	const usualDuration = 15 * time.Second
+	return &cli.Command{
+		Name:  "demo",
+		Usage: "run a whole deployment in this process through a surge",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "deployment", Value: "hollander", Usage: "hollander or tabighi"},
+			&cli.DurationFlag{Name: "duration", Value: usualDuration, Usage: "time of the three phases together"},
+			&cli.BoolFlag{Name: "json", Usage: "print the report as JSON"},
+			&cli.BoolFlag{Name: "logs", Usage: "show the logs of the nodes"},
+		},
+		Action: runDemo,
+	}
+}
+
+func runDemo(ctx context.Context, c *cli.Command) error {
+	cfg := zydemo.Config{Deployment: c.String("deployment"), Duration: c.Duration("duration"), Logs: io.Discard, Progress: os.Stderr}
+	if c.Bool("logs") {
+		cfg.Logs = os.Stderr
+	}
+	report, err := zydemo.Run(ctx, cfg)
+	if err != nil {
+		return fmt.Errorf("demo: %w", err)
+	}
+	if c.Bool("json") {
+		encoder := json.NewEncoder(os.Stdout)
+		encoder.SetIndent("", "  ")
+		if err := encoder.Encode(report); err != nil {
+			return fmt.Errorf("report: %w", err)
+		}
+	} else {
+		report.Print(os.Stdout)
+	}
+	if len(report.Broken()) > 0 {
+		return errBroken
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/zinniayoke/key.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"zinniayoke/io/zyoperator"
+)
+
+const secretSize = 32
+
+func keyCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "key",
+		Usage: "make keys and tokens",
+		Commands: []*cli.Command{
+			{
+				Name: "new", Usage: "make an approver's key pair; prints the public key", Action: newKey,
+				Flags: []cli.Flag{&cli.StringFlag{Name: "out", Required: true, Usage: "new file for the private key"}},
+			},
+			{Name: "peer", Usage: "print a new shared key for [peers] key", Action: newPeerKey},
+			{Name: "token", Usage: "print a new caller's token and its tokenHash", Action: newToken},
+		},
+	}
+}
+
+func newKey(_ context.Context, c *cli.Command) error {
+	private, public, err := zyoperator.NewKey()
+	if err != nil {
+		return err
+	}
+	const ownerOnly = 0o600
+	f, err := os.OpenFile(c.String("out"), os.O_WRONLY|os.O_CREATE|os.O_EXCL, ownerOnly)
+	if err != nil {
+		return fmt.Errorf("key: %w", err)
+	}
+	if _, err := fmt.Fprintln(f, private); err != nil {
+		_ = f.Close()
+		return fmt.Errorf("key: %w", err)
+	}
+	if err := f.Close(); err != nil {
+		return fmt.Errorf("key: %w", err)
+	}
+	fmt.Println(public)
+	return nil
+}
+
+func newSecret() string {
+	raw := make([]byte, secretSize)
+	_, _ = rand.Read(raw) // It never fails: the runtime ends the program instead.
+	return hex.EncodeToString(raw)
+}
+
+func newPeerKey(context.Context, *cli.Command) error {
+	fmt.Println(newSecret())
+	return nil
+}
+
+func newToken(context.Context, *cli.Command) error {
+	token := newSecret()
+	sum := sha256.Sum256([]byte(token))
+	fmt.Printf("token %s\ntokenHash = %s\n", token, hex.EncodeToString(sum[:]))
+	return nil
+}
--- /dev/null
+++ b/cmd/zinniayoke/standin.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"zinniayoke"
+	"zinniayoke/io/zydemo"
+	"zinniayoke/io/zystandin"
+)
+
+const headerTimeout = 5 * time.Second
+
+func standinCommand() *cli.Command {
+	listen := &cli.StringFlag{Name: "listen", Required: true, Usage: "IP number and port"}
+	return &cli.Command{
+		Name:  "standin",
+		Usage: "run a stand-in for a system outside",
+		Commands: []*cli.Command{
+			{Name: "log", Usage: "the platform's log, in memory", Action: runLog, Flags: []cli.Flag{listen}},
+			{
+				Name: "upstream", Usage: "a worker of one of the deployments", Action: runUpstream,
+				Flags: []cli.Flag{
+					listen,
+					&cli.StringFlag{Name: "deployment", Value: "hollander", Usage: "hollander or tabighi"},
+					&cli.StringFlag{Name: "service", Required: true, Usage: "service of the deployment"},
+					&cli.StringFlag{Name: "node", Required: true, Usage: "caller port of the node on this host"},
+					&cli.StringFlag{Name: "announce", Required: true, Usage: "upstream port of the node on this host"},
+				},
+			},
+		},
+	}
+}
+
+func runLog(ctx context.Context, c *cli.Command) error {
+	return serveUntil(ctx, c.String("listen"), (&zystandin.Log{}).Handler())
+}
+
+// UnknownServiceError says that a deployment lacks a service.
+type UnknownServiceError struct {
+	Service  string
+	Accepted []string
+}
+
+// Error returns the service and what is accepted.
+func (e *UnknownServiceError) Error() string {
+	return fmt.Sprintf("service %q: accepted: %s", e.Service, strings.Join(e.Accepted, ", "))
+}
+
+func runUpstream(ctx context.Context, c *cli.Command) error {
+	deployment, ok := zydemo.Deployments()[c.String("deployment")]
+	if !ok {
+		return &zydemo.UnknownDeploymentError{Name: c.String("deployment")}
+	}
+	unknown := &UnknownServiceError{Service: c.String("service")}
+	for _, s := range deployment.Services {
+		unknown.Accepted = append(unknown.Accepted, string(s.Name))
+		if s.Name != zinniayoke.Service(c.String("service")) {
+			continue
+		}
+		worker := zystandin.NewWorker(zystandin.WorkerConfig{
+			Service: s.Name, Slots: s.Slots, Connections: s.Connections, Actions: s.Actions,
+			NodeCaller: c.String("node"), NodeUpstream: c.String("announce"), Address: c.String("listen"),
+		})
+		go worker.KeepAnnouncing(ctx)
+		return serveUntil(ctx, c.String("listen"), worker)
+	}
+	return unknown
+}
+
+// serveUntil serves until ctx is done.
+func serveUntil(ctx context.Context, address string, h http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	go func() {
+		<-ctx.Done()
+		_ = server.Close()
+	}()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/core/zyadmission/gate.go
@@ -0,0 +1,256 @@
+package zyadmission
+
+import (
+	"time"
+
+	"github.com/google/btree"
+
+	"zinniayoke"
+)
+
+// Item is an attempt that wants to run.
+type Item struct {
+	ID       zinniayoke.AttemptID
+	Route    zinniayoke.RouteName
+	Rank     zinniayoke.Rank
+	Depth    int
+	Deadline time.Time
+	arrived  time.Time
+	sequence uint64
+}
+
+// Refusal is an item that was not admitted, with the reason.
+type Refusal struct {
+	Item   Item
+	Reason zinniayoke.Reason
+}
+
+// Result lists what a step of the gate has decided. Items that are in neither
+// list wait.
+type Result struct {
+	Start  []Item
+	Refuse []Refusal
+}
+
+// Config configures a Gate.
+type Config struct {
+	// Slots is the number of calls that the worker announced it runs at once.
+	Slots int
+	// WarmUp is the time in which a new worker's limit grows from a quarter to
+	// the whole. 0 means no ramp.
+	WarmUp time.Duration
+	// Fixed keeps the limit at the announced slots.
+	Fixed bool
+	// Started is when the worker started.
+	Started time.Time
+}
+
+const (
+	queuePerSlot  = 1
+	shortestQueue = 4
+	longestQueue  = 512
+	longestWait   = 100 * time.Millisecond
+	btreeDegree   = 16
+	hashBits      = 16
+	coldShare     = 0.25
+	serviceWeight = 0.1
+)
+
+// Gate decides about the attempts at one worker. It is not safe for use by
+// several goroutines. A Gate must be made with NewGate.
+type Gate struct {
+	cfg       Config
+	limit     *Limit
+	threshold *Threshold
+	running   map[zinniayoke.AttemptID]Item
+	waiting   map[zinniayoke.AttemptID]Item
+	queue     *btree.BTreeG[Item]
+	sequence  uint64
+	service   map[zinniayoke.RouteName]time.Duration
+}
+
+// NewGate returns a gate without running or waiting attempts.
+func NewGate(cfg Config) *Gate {
+	return &Gate{
+		cfg:       cfg,
+		limit:     NewLimit(cfg.Slots),
+		threshold: NewThreshold(),
+		running:   make(map[zinniayoke.AttemptID]Item),
+		waiting:   make(map[zinniayoke.AttemptID]Item),
+		queue:     btree.NewG(btreeDegree, before),
+		service:   make(map[zinniayoke.RouteName]time.Duration),
+	}
+}
+
+// before orders the queue: the first item starts next, the last is refused
+// first. Among ranks that differ only in their hash, deeper calls go first,
+// since more work is already spent on them.
+func before(a, b Item) bool {
+	if a.Rank>>hashBits != b.Rank>>hashBits {
+		return a.Rank>>hashBits > b.Rank>>hashBits
+	}
+	if a.Depth != b.Depth {
+		return a.Depth > b.Depth
+	}
+	if a.Rank != b.Rank {
+		return a.Rank > b.Rank
+	}
+	return a.sequence < b.sequence
+}
+
+// Announce notes the slots that the worker announces now.
+func (g *Gate) Announce(slots int) {
+	g.cfg.Slots = slots
+	g.limit.Announce(slots)
+}
+
+// Limit returns how many calls may run at once now.
+func (g *Gate) Limit(now time.Time) int {
+	value := g.limit.Value()
+	if g.cfg.Fixed {
+		value = max(g.cfg.Slots, 1)
+	}
+	age := now.Sub(g.cfg.Started)
+	if g.cfg.WarmUp <= 0 || age >= g.cfg.WarmUp {
+		return value
+	}
+	share := coldShare + (1-coldShare)*float64(age)/float64(g.cfg.WarmUp)
+	return max(int(float64(value)*share), 1)
+}
+
+// Running returns how many calls the worker runs.
+func (g *Gate) Running() int {
+	return len(g.running)
+}
+
+// Waiting returns how many calls wait.
+func (g *Gate) Waiting() int {
+	return len(g.waiting)
+}
+
+// Threshold returns the lowest rank that is admitted now.
+func (g *Gate) Threshold() zinniayoke.Rank {
+	return g.threshold.Value()
+}
+
+// Arrive takes in an attempt. Exactly one of three things follows: it starts,
+// it waits, or it is refused; another one may be refused in its place.
+func (g *Gate) Arrive(now time.Time, item Item) Result {
+	var res Result
+	g.sequence++
+	item.sequence = g.sequence
+	item.arrived = now
+	g.threshold.Arrive(now, item.Rank)
+	if g.hopeless(now, item) {
+		res.Refuse = append(res.Refuse, Refusal{Item: item, Reason: zinniayoke.ReasonDeadline})
+		return res
+	}
+	g.push(item)
+	g.start(now, &res)
+	for len(g.waiting) > g.queueBound(now) {
+		last, _ := g.queue.DeleteMax()
+		delete(g.waiting, last.ID)
+		g.threshold.Shed(now, last.Rank)
+		res.Refuse = append(res.Refuse, Refusal{Item: last, Reason: zinniayoke.ReasonShed})
+	}
+	return res
+}
+
+// Finish notes that the worker has ended a call after the given time, of which
+// the calls of its children are not a part, and starts what waits.
+func (g *Gate) Finish(now time.Time, id zinniayoke.AttemptID, took time.Duration) Result {
+	var res Result
+	item, ok := g.running[id]
+	if !ok {
+		return res
+	}
+	g.limit.Finish(now, len(g.running), len(g.waiting) > 0)
+	delete(g.running, id)
+	g.learn(item.Route, took)
+	g.start(now, &res)
+	return res
+}
+
+// Leave removes a waiting attempt that nobody waits for any more and reports
+// whether it was waiting.
+func (g *Gate) Leave(id zinniayoke.AttemptID) bool {
+	item, ok := g.waiting[id]
+	if !ok {
+		return false
+	}
+	delete(g.waiting, id)
+	g.queue.Delete(item)
+	return true
+}
+
+// Tick refuses what has waited too long or cannot finish any more, and moves
+// the threshold.
+func (g *Gate) Tick(now time.Time) Result {
+	var res Result
+	var late []Item
+	g.queue.Ascend(func(item Item) bool {
+		if g.hopeless(now, item) || now.Sub(item.arrived) > longestWait {
+			late = append(late, item)
+		}
+		return true
+	})
+	for _, item := range late {
+		g.refuseLate(now, item, &res)
+	}
+	g.start(now, &res)
+	g.threshold.Tick(now)
+	return res
+}
+
+func (g *Gate) refuseLate(now time.Time, item Item, res *Result) {
+	g.Leave(item.ID)
+	reason := zinniayoke.ReasonShed
+	if g.hopeless(now, item) {
+		reason = zinniayoke.ReasonDeadline
+	}
+	g.threshold.Shed(now, item.Rank)
+	res.Refuse = append(res.Refuse, Refusal{Item: item, Reason: reason})
+}
+
+func (g *Gate) push(item Item) {
+	g.waiting[item.ID] = item
+	g.queue.ReplaceOrInsert(item)
+}
+
+// start moves items from the queue to the worker, in order, while it has room.
+func (g *Gate) start(now time.Time, res *Result) {
+	limit := g.Limit(now)
+	for len(g.running) < limit {
+		item, ok := g.queue.DeleteMin()
+		if !ok {
+			return
+		}
+		delete(g.waiting, item.ID)
+		if g.hopeless(now, item) {
+			res.Refuse = append(res.Refuse, Refusal{Item: item, Reason: zinniayoke.ReasonDeadline})
+			continue
+		}
+		g.threshold.Wait(now.Sub(item.arrived))
+		g.running[item.ID] = item
+		res.Start = append(res.Start, item)
+	}
+}
+
+func (g *Gate) queueBound(now time.Time) int {
+	return min(max(g.Limit(now)*queuePerSlot, shortestQueue), longestQueue)
+}
+
+// hopeless reports whether the item cannot be answered before its deadline.
+func (g *Gate) hopeless(now time.Time, item Item) bool {
+	return now.Add(g.service[item.Route] / 2).After(item.Deadline)
+}
+
+// learn averages how long calls of a route take at this worker.
+func (g *Gate) learn(route zinniayoke.RouteName, took time.Duration) {
+	old, ok := g.service[route]
+	if !ok {
+		g.service[route] = took
+		return
+	}
+	g.service[route] = old + time.Duration(serviceWeight*float64(took-old))
+}
--- /dev/null
+++ b/core/zybundle/bundle.go
@@ -0,0 +1,177 @@
+// Package zybundle reads, checks and looks up the versioned bundle in which
+// operators state callers, classes, services, routes and limits.
+package zybundle
+
+import (
+	"crypto/ed25519"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"time"
+
+	"zinniayoke"
+)
+
+// Hash identifies a bundle by its text.
+type Hash string
+
+// HashOf returns the SHA-256 of a bundle's text as hexadecimal digits.
+func HashOf(text []byte) Hash {
+	sum := sha256.Sum256(text)
+	return Hash(hex.EncodeToString(sum[:]))
+}
+
+// Bundle is one checked version. It is never changed after Parse.
+type Bundle struct {
+	Version zinniayoke.Version
+	// Hash identifies the text.
+	Hash Hash
+	// Text is what the operators wrote.
+	Text []byte
+	// Approvals is how many approvers have to sign off the next version.
+	Approvals int
+	// KeyWindow is how long a key is remembered after its last send.
+	KeyWindow time.Duration
+	// DefaultHome is the home of callers that have none of their own.
+	DefaultHome zinniayoke.Domain
+	// DefaultMovedFrom is the default home of the version before, if it differs.
+	DefaultMovedFrom zinniayoke.Domain
+	// Anonymous tells whether callers without a token may name themselves.
+	Anonymous bool
+	// QuarantineFor is how long a crashing request stays refused.
+	QuarantineFor time.Duration
+
+	Domains   map[zinniayoke.Domain]zinniayoke.Region
+	Approvers map[string]ed25519.PublicKey
+	Classes   map[zinniayoke.ClassName]Class
+	Callers   map[zinniayoke.Caller]Caller
+	Services  map[zinniayoke.Service]Service
+	Routes    map[zinniayoke.RouteName]*Route
+	Links     map[RegionPair]Link
+	// Released holds the content hashes whose quarantine operators have lifted.
+	Released map[string]bool
+
+	tokens map[string]zinniayoke.Caller
+	muxes  map[zinniayoke.Service]*http.ServeMux
+}
+
+// Class is a class of importance; a higher importance is served first.
+type Class struct {
+	Name       zinniayoke.ClassName
+	Importance int
+}
+
+// Caller is one small caller behind the reseller's name.
+type Caller struct {
+	Name      zinniayoke.Caller
+	TokenHash string
+	// Urgency orders callers within a class, from 0 to 15.
+	Urgency int
+	// Home is the failure domain that keeps the caller's keys.
+	Home zinniayoke.Domain
+	// MovedFrom is the home of the version before, where it differs.
+	MovedFrom zinniayoke.Domain
+	// Rate limits calls a second at each entry node; 0 means no limit.
+	Rate float64
+}
+
+// Service is one service of the call graph.
+type Service struct {
+	Name zinniayoke.Service
+	// TrustShed says that a 503 of its workers means that the call did not run.
+	TrustShed bool
+	// WarmUp is how long a new worker takes to reach its full speed.
+	WarmUp time.Duration
+}
+
+// Route states how calls of one method and path pattern are treated.
+type Route struct {
+	Name    zinniayoke.RouteName
+	Service zinniayoke.Service
+	Method  string
+	Path    string
+	Class   Class
+	// Attempts bounds the sends that one root request causes in its whole chain.
+	Attempts zinniayoke.Tokens
+	// Calls is how many child calls a run makes in its whole chain.
+	Calls zinniayoke.Tokens
+	// RetryBudget is the share of successes that may be spent on retries.
+	RetryBudget float64
+	NeverRepeat bool
+	Timeout     time.Duration
+	MaxBody     zinniayoke.Bytes
+}
+
+// RegionPair is two regions in the order of their names.
+type RegionPair struct {
+	Low  zinniayoke.Region
+	High zinniayoke.Region
+}
+
+// Link states what a link between two regions carries.
+type Link struct {
+	// Rate is in bytes a second each way.
+	Rate zinniayoke.Bytes
+}
+
+// PairOf returns the pair of two regions.
+func PairOf(a, b zinniayoke.Region) RegionPair {
+	if b < a {
+		a, b = b, a
+	}
+	return RegionPair{Low: a, High: b}
+}
+
+// CallerOf returns the caller who holds token, or an error of type
+// *zinniayoke.CallError. Without a token, claimed names the caller where the
+// bundle allows that and the name is not protected by a token.
+func (b *Bundle) CallerOf(token, claimed string) (Caller, error) {
+	if token != "" {
+		sum := sha256.Sum256([]byte(token))
+		name, ok := b.tokens[hex.EncodeToString(sum[:])]
+		if !ok {
+			return Caller{}, zinniayoke.Refuse(zinniayoke.ReasonToken, "the token belongs to no caller of the bundle")
+		}
+		return b.Callers[name], nil
+	}
+	named, ok := b.Callers[zinniayoke.Caller(claimed)]
+	if ok && named.TokenHash != "" {
+		return Caller{}, zinniayoke.Refuse(zinniayoke.ReasonToken, "this caller has to show its token")
+	}
+	if ok {
+		return named, nil
+	}
+	if !b.Anonymous {
+		return Caller{}, zinniayoke.Refuse(zinniayoke.ReasonToken, "a token is required")
+	}
+	return Caller{Name: zinniayoke.Caller(claimed), Home: b.DefaultHome, MovedFrom: b.DefaultMovedFrom}, nil
+}
+
+// HomeOf returns the home of a caller and the home that it was moved from, if any.
+func (b *Bundle) HomeOf(name zinniayoke.Caller) (home, movedFrom zinniayoke.Domain) {
+	if c, ok := b.Callers[name]; ok {
+		return c.Home, c.MovedFrom
+	}
+	return b.DefaultHome, b.DefaultMovedFrom
+}
+
+// RouteOf returns the route of a call, or an error of type *zinniayoke.CallError.
+func (b *Bundle) RouteOf(service zinniayoke.Service, r *http.Request) (*Route, error) {
+	mux, ok := b.muxes[service]
+	if !ok {
+		return nil, zinniayoke.Refuse(zinniayoke.ReasonNoRoute, "the bundle has no such service")
+	}
+	handler, _ := mux.Handler(r)
+	route, ok := handler.(*routeHandler)
+	if !ok {
+		return nil, zinniayoke.Refuse(zinniayoke.ReasonNoRoute, "the service has no route for this method and path")
+	}
+	return route.route, nil
+}
+
+// routeHandler lets http.ServeMux match patterns; it never serves.
+type routeHandler struct {
+	route *Route
+}
+
+func (*routeHandler) ServeHTTP(http.ResponseWriter, *http.Request) {}
--- /dev/null
+++ b/core/zybundle/parse.go
@@ -0,0 +1,200 @@
+package zybundle
+
+import (
+	"crypto/ed25519"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"math"
+	"net/http"
+	"time"
+
+	"zinniayoke"
+	"zinniayoke/core/zyini"
+)
+
+// MaxText is the largest text of a bundle.
+const MaxText = 1 * zinniayoke.MiB
+
+const (
+	highestImportance = 255
+	highestUrgency    = 15
+	mostAttempts      = 1000
+	mostApprovals     = 16
+	shortestWindow    = time.Second
+	longestWindow     = 24 * time.Hour
+	longestTimeout    = 10 * time.Minute
+	largestBody       = 8 * zinniayoke.MiB
+	usualBody         = 64 * zinniayoke.KiB
+	usualTimeout      = 2 * time.Second
+	usualWindow       = 10 * time.Minute
+	usualQuarantine   = 10 * time.Minute
+)
+
+// Parse reads a bundle and checks it whole. The error is a *zyini.ProblemsError
+// that holds every problem.
+func Parse(name string, text []byte) (*Bundle, error) {
+	file := zyini.Parse(name, text)
+	if len(text) > int(MaxText) {
+		file.Reject("bundle", fmt.Sprintf("%d bytes", len(text)), fmt.Sprintf("at most %d bytes", MaxText))
+	}
+	b := newBundle(text)
+	seen := false
+	for _, s := range file.Sections() {
+		seen = b.readSection(s) || seen
+		s.Close()
+	}
+	if file.Err() == nil && !seen {
+		file.Reject("bundle", "no such section", "[bundle] with version, approvals and defaultHome")
+	}
+	b.checkReferences(file)
+	if err := file.Err(); err != nil {
+		return nil, err
+	}
+	return b, nil
+}
+
+func newBundle(text []byte) *Bundle {
+	return &Bundle{
+		Hash:      HashOf(text),
+		Text:      append([]byte(nil), text...),
+		Domains:   make(map[zinniayoke.Domain]zinniayoke.Region),
+		Approvers: make(map[string]ed25519.PublicKey),
+		Classes:   make(map[zinniayoke.ClassName]Class),
+		Callers:   make(map[zinniayoke.Caller]Caller),
+		Services:  make(map[zinniayoke.Service]Service),
+		Routes:    make(map[zinniayoke.RouteName]*Route),
+		Links:     make(map[RegionPair]Link),
+		Released:  make(map[string]bool),
+		tokens:    make(map[string]zinniayoke.Caller),
+		muxes:     make(map[zinniayoke.Service]*http.ServeMux),
+	}
+}
+
+// readSection reports whether the section was the one that names the version.
+func (b *Bundle) readSection(s *zyini.Section) bool {
+	if s.Kind != "bundle" && s.Name == "" {
+		s.RejectSection("no name", "["+s.Kind+" name]")
+		return false
+	}
+	switch s.Kind {
+	case "bundle":
+		b.readBundle(s)
+		return true
+	case "domain":
+		b.Domains[zinniayoke.Domain(s.Name)] = zyini.Need(s, "region", zyini.Name[zinniayoke.Region]())
+	case "approver":
+		b.Approvers[s.Name] = zyini.Need(s, "publicKey", zyini.Hex(ed25519.PublicKeySize))
+	case "class":
+		importance := zyini.Need(s, "importance", zyini.Whole(0, highestImportance))
+		b.Classes[zinniayoke.ClassName(s.Name)] = Class{Name: zinniayoke.ClassName(s.Name), Importance: importance}
+	case "caller":
+		b.readCaller(s)
+	case "service":
+		b.readService(s)
+	case "route":
+		b.readRoute(s)
+	case "link":
+		b.readLink(s)
+	case "release":
+		b.readRelease(s)
+	default:
+		s.RejectSection("an unknown section",
+			"bundle, domain, approver, class, caller, service, route, link, release")
+	}
+	return false
+}
+
+func (b *Bundle) readBundle(s *zyini.Section) {
+	b.Version = zyini.Need(s, "version", zyini.Whole[zinniayoke.Version](1, math.MaxInt32))
+	b.Approvals = zyini.Need(s, "approvals", zyini.Whole(1, mostApprovals))
+	b.DefaultHome = zyini.Need(s, "defaultHome", zyini.Name[zinniayoke.Domain]())
+	b.DefaultMovedFrom = zyini.Get(s, "defaultMovedFrom", zyini.Name[zinniayoke.Domain](), "")
+	b.Anonymous = zyini.Get(s, "anonymous", zyini.Switch(), false)
+	b.KeyWindow = zyini.Get(s, "keyWindow", zyini.Duration(shortestWindow, longestWindow), usualWindow)
+	b.QuarantineFor = zyini.Get(s, "quarantineFor", zyini.Duration(shortestWindow, longestWindow), usualQuarantine)
+}
+
+func (b *Bundle) readCaller(s *zyini.Section) {
+	c := Caller{Name: zinniayoke.Caller(s.Name)}
+	if s.Has("tokenHash") {
+		c.TokenHash = hex.EncodeToString(zyini.Get(s, "tokenHash", zyini.Hex(sha256.Size), nil))
+		if other, ok := b.tokens[c.TokenHash]; ok {
+			s.Reject("tokenHash", "the token of "+string(other), "a token of its own for each caller")
+		}
+		b.tokens[c.TokenHash] = c.Name
+	}
+	c.Urgency = zyini.Get(s, "urgency", zyini.Whole(0, highestUrgency), 0)
+	c.Home = zyini.Need(s, "home", zyini.Name[zinniayoke.Domain]())
+	c.MovedFrom = zyini.Get(s, "movedFrom", zyini.Name[zinniayoke.Domain](), "")
+	c.Rate = zyini.Get(s, "rate", zyini.CallRate(), 0)
+	// Reading the key marks it as known, also where the section lacks it.
+	_ = zyini.Get(s, "tokenHash", zyini.Hex(sha256.Size), nil)
+	b.Callers[c.Name] = c
+}
+
+func (b *Bundle) readService(s *zyini.Section) {
+	b.Services[zinniayoke.Service(s.Name)] = Service{
+		Name:      zinniayoke.Service(s.Name),
+		TrustShed: zyini.Get(s, "trustShed", zyini.Switch(), false),
+		WarmUp:    zyini.Get(s, "warmUp", zyini.Duration(0, longestTimeout), 0),
+	}
+}
+
+func (b *Bundle) readRoute(s *zyini.Section) {
+	r := &Route{Name: zinniayoke.RouteName(s.Name)}
+	r.Service = zyini.Need(s, "service", zyini.Name[zinniayoke.Service]())
+	r.Method = zyini.Need(s, "method", zyini.OneOf("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"))
+	r.Path = zyini.Need(s, "path", zyini.Text[string]())
+	r.Class.Name = zyini.Need(s, "class", zyini.Name[zinniayoke.ClassName]())
+	r.Attempts = zyini.Need(s, "attempts", zyini.Whole[zinniayoke.Tokens](1, mostAttempts))
+	r.Calls = zyini.Get(s, "calls", zyini.Whole[zinniayoke.Tokens](0, mostAttempts), 0)
+	r.RetryBudget = zyini.Get(s, "retryBudget", zyini.Percent(), 0)
+	r.NeverRepeat = zyini.Get(s, "neverRepeat", zyini.Switch(), false)
+	r.Timeout = zyini.Get(s, "timeout", zyini.Duration(time.Millisecond, longestTimeout), usualTimeout)
+	r.MaxBody = zyini.Get(s, "maxBody", zyini.Size(0, largestBody), usualBody)
+	if r.Attempts < 1+r.Calls {
+		s.Reject("attempts", fmt.Sprintf("%d with %d calls", r.Attempts, r.Calls), "at least one more than calls")
+	}
+	b.Routes[r.Name] = r
+	b.addPattern(s, r)
+}
+
+// addPattern adds the route to the matcher of its service. The matcher panics
+// on a pattern that is malformed or that conflicts with another one.
+func (b *Bundle) addPattern(s *zyini.Section, r *Route) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			s.Reject("path", fmt.Sprint(fault), "a pattern such as /orders/{id} that no other route of the service meets")
+		}
+	}()
+	mux, ok := b.muxes[r.Service]
+	if !ok {
+		mux = http.NewServeMux()
+		b.muxes[r.Service] = mux
+	}
+	if r.Path == "" || r.Path[0] != '/' {
+		s.Reject("path", fmt.Sprintf("%q", r.Path), "a pattern that begins with a slash")
+		return
+	}
+	mux.Handle(r.Method+" "+r.Path, &routeHandler{route: r})
+}
+
+func (b *Bundle) readLink(s *zyini.Section) {
+	rate := zyini.Need(s, "rate", zyini.BitRate())
+	low, high, ok := cutRegions(s.Name)
+	if !ok {
+		s.RejectSection(fmt.Sprintf("%q", s.Name), "two regions with a slash between, such as [link north/south]")
+		return
+	}
+	b.Links[PairOf(low, high)] = Link{Rate: rate}
+}
+
+func (b *Bundle) readRelease(s *zyini.Section) {
+	const digits = 16
+	if raw, err := hex.DecodeString(s.Name); err != nil || len(raw)*2 != digits {
+		s.RejectSection(fmt.Sprintf("%q", s.Name), "the 16 hexadecimal digits that status shows for a quarantined request")
+		return
+	}
+	b.Released[s.Name] = true
+}
--- /dev/null
+++ b/core/zyclaim/recovery.go
@@ -0,0 +1,196 @@
+package zyclaim
+
+import (
+	"time"
+
+	"zinniayoke"
+)
+
+// Recovery is a take-over of slots in progress.
+type Recovery struct {
+	Slots []zinniayoke.Slot
+	Epoch zinniayoke.Epoch
+	held  []Held
+	// missing holds the nodes that did not answer, with the time of their loss.
+	missing map[zinniayoke.NodeID]time.Time
+}
+
+// Closed returns those of the slots that are not open at this keeper.
+func (k *Keeper) Closed(slots []zinniayoke.Slot) []zinniayoke.Slot {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var closed []zinniayoke.Slot
+	for _, slot := range slots {
+		if s, ok := k.slots[slot]; !ok || !s.open {
+			closed = append(closed, slot)
+		}
+	}
+	return closed
+}
+
+// StartRecovery begins a take-over with an epoch above all that are known.
+func (k *Keeper) StartRecovery(slots []zinniayoke.Slot, highest zinniayoke.Epoch) *Recovery {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, slot := range slots {
+		if s, ok := k.slots[slot]; ok && highest.Less(s.epoch) {
+			highest = s.epoch
+		}
+	}
+	return &Recovery{
+		Slots:   slots,
+		Epoch:   zinniayoke.Epoch{Major: highest.Major + 1, Node: k.cfg.Node},
+		missing: make(map[zinniayoke.NodeID]time.Time),
+	}
+}
+
+// Told adds what a node remembers that has promised the epoch.
+func (r *Recovery) Told(list []Held) {
+	r.held = append(r.held, list...)
+}
+
+// Missing notes a node that did not answer and when it was lost.
+func (r *Recovery) Missing(node zinniayoke.NodeID, lost time.Time) {
+	r.missing[node] = lost
+}
+
+// FinishRecovery opens the slots with what was learned. Keys that are unknown
+// stay refused while a missing node may remember them.
+func (k *Keeper) FinishRecovery(now time.Time, r *Recovery) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, slot := range r.Slots {
+		old := k.slots[slot]
+		if old != nil && r.Epoch.Less(old.epoch) {
+			continue
+		}
+		k.keys -= lenOf(old)
+		s := &slotState{
+			open: true, epoch: r.Epoch,
+			missing: make(map[zinniayoke.NodeID]time.Time, len(r.missing)),
+			keys:    keepOld(old),
+		}
+		for node, lost := range r.missing {
+			s.missing[node] = lost
+		}
+		k.slots[slot] = s
+		k.keys += len(s.keys)
+	}
+	for _, h := range r.held {
+		k.restore(now, h)
+	}
+}
+
+// keepOld returns what the keeper knew itself of a slot that it kept before.
+// Runs that were in progress are uncertain under the new epoch. A key that had
+// run nowhere is forgotten, since another keeper may have granted it meanwhile.
+func keepOld(old *slotState) map[zinniayoke.Key]*keyState {
+	keys := make(map[zinniayoke.Key]*keyState)
+	if old == nil {
+		return keys
+	}
+	for key, e := range old.keys {
+		if !e.running && e.fate == zinniayoke.FateNeverSeen {
+			continue
+		}
+		kept := *e
+		kept.restored = true
+		if kept.running {
+			kept.running = false
+			kept.fate = zinniayoke.FateLost
+		}
+		keys[key] = &kept
+	}
+	return keys
+}
+
+func lenOf(s *slotState) int {
+	if s == nil {
+		return 0
+	}
+	return len(s.keys)
+}
+
+// restore merges what one node remembers of a key. An answer beats everything
+// else; a run that is not known to have ended stays uncertain.
+func (k *Keeper) restore(now time.Time, h Held) {
+	s, ok := k.slots[h.Slot]
+	if !ok {
+		return
+	}
+	old, known := s.keys[h.Key]
+	if known && old.fate == zinniayoke.FateAnswered {
+		return
+	}
+	if !known {
+		k.keys++
+	}
+	fate := h.Fate
+	if fate == zinniayoke.FateRunning || fate == zinniayoke.FateNeverSeen {
+		fate = zinniayoke.FateLost
+	}
+	s.keys[h.Key] = &keyState{
+		bodyHash: h.BodyHash, attempt: h.Attempt, node: h.Node,
+		restored: true, fate: fate, reply: h.Reply, at: now.Add(-h.Age),
+	}
+}
+
+// Retain closes the slots that belong to another keeper now, except those with
+// a run in progress, whose answer is still to come.
+func (k *Keeper) Retain(mine func(zinniayoke.Slot) bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for slot, s := range k.slots {
+		if mine(slot) {
+			continue
+		}
+		s.open = false
+	}
+}
+
+// Revisit closes the slots that miss a node which is there again, so that the
+// next claim recovers them whole.
+func (k *Keeper) Revisit(there []zinniayoke.NodeID) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, s := range k.slots {
+		for _, node := range there {
+			if _, ok := s.missing[node]; ok {
+				s.open = false
+			}
+		}
+	}
+}
+
+// Surrender closes slots that a newer keeper has taken over and returns what
+// this keeper knows of them.
+func (k *Keeper) Surrender(now time.Time, slots []zinniayoke.Slot, epoch zinniayoke.Epoch) []Held {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var list []Held
+	for _, slot := range slots {
+		s, ok := k.slots[slot]
+		if !ok || !s.epoch.Less(epoch) {
+			continue
+		}
+		s.open = false
+		for key, e := range s.keys {
+			if !e.running && e.fate == zinniayoke.FateNeverSeen {
+				continue
+			}
+			list = append(list, e.export(now, slot, key))
+		}
+	}
+	return list
+}
+
+func (e *keyState) export(now time.Time, slot zinniayoke.Slot, key zinniayoke.Key) Held {
+	fate := e.fate
+	if e.running {
+		fate = zinniayoke.FateRunning
+	}
+	return Held{
+		Key: key, Slot: slot, BodyHash: e.bodyHash, Attempt: e.attempt, Node: e.node,
+		Fate: fate, Reply: e.reply, Age: now.Sub(e.at),
+	}
+}
--- /dev/null
+++ b/core/zyegress/sender.go
@@ -0,0 +1,297 @@
+// Package zyegress sends a call to an upstream, asks what became of an attempt
+// whose reply is lost, and retries where that is allowed and safe.
+package zyegress
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/google/uuid"
+
+	"zinniayoke"
+	"zinniayoke/core/zyanswer"
+	"zinniayoke/core/zyattempt"
+	"zinniayoke/core/zybundle"
+	"zinniayoke/core/zydoor"
+	"zinniayoke/core/zypick"
+	"zinniayoke/core/zysuspect"
+)
+
+// Config configures a Sender.
+type Config struct {
+	Peers    zinniayoke.Peers
+	Picker   *zypick.Picker
+	Roster   zinniayoke.Roster
+	Door     *zydoor.Door
+	Budgets  *zyattempt.Budgets
+	Suspects *zysuspect.Book
+	Meter    zinniayoke.Meter
+	Rules    func() *zybundle.Bundle
+	// NewID returns a fresh attempt id; nil means random ones.
+	NewID func() zinniayoke.AttemptID
+}
+
+const (
+	askTimeout  = 1 * time.Second
+	askPause    = 100 * time.Millisecond
+	asksOffline = 3
+)
+
+// Sender sends calls. It may be used by several goroutines. A Sender must be
+// made with New.
+type Sender struct {
+	cfg Config
+}
+
+// New returns a sender.
+func New(cfg Config) *Sender {
+	if cfg.NewID == nil {
+		cfg.NewID = func() zinniayoke.AttemptID { return zinniayoke.AttemptID(uuid.NewString()) }
+	}
+	return &Sender{cfg: cfg}
+}
+
+// Send is what one call is sent with.
+type Send struct {
+	Call  *zinniayoke.Call
+	Route *zybundle.Route
+	Pool  *zyattempt.Pool
+	Grant zinniayoke.Grant
+	// Before is called with each attempt before it goes out; it may forbid it.
+	// nil allows all.
+	Before func(id zinniayoke.AttemptID, to zinniayoke.NodeID) bool
+	// Avoid names nodes that are chosen only where there is no other.
+	Avoid []zinniayoke.NodeID
+}
+
+// flight is the state of one Send.
+type flight struct {
+	Send
+	excluded []zinniayoke.NodeID
+	// last is the reply that is given if no better one comes.
+	last *zinniayoke.Reply
+	// handed is true once an attempt may have reached a worker.
+	handed bool
+	// suspected is true for a request that has one upstream to run at.
+	suspected bool
+}
+
+// Do sends the call until it has an answer or may not be sent again. The reply
+// always tells the truth about all its attempts together.
+func (s *Sender) Do(ctx context.Context, send Send) *zinniayoke.Reply {
+	f := &flight{Send: send, excluded: append([]zinniayoke.NodeID(nil), send.Avoid...)}
+	for {
+		reply := s.once(ctx, f)
+		f.note(reply)
+		if reply.Outcome == zinniayoke.OutcomeDone || !s.mayRetry(ctx, f, reply) {
+			return f.verdict()
+		}
+	}
+}
+
+// note keeps the reply; once a worker may have run the call, nothing that a
+// later attempt says can take that back.
+func (f *flight) note(reply *zinniayoke.Reply) {
+	if reply.Outcome == zinniayoke.OutcomeUnknown {
+		f.handed = true
+	}
+	f.last = reply
+}
+
+func (f *flight) verdict() *zinniayoke.Reply {
+	reply := *f.last
+	if f.handed && reply.Outcome == zinniayoke.OutcomeNotRun {
+		reply.Outcome = zinniayoke.OutcomeUnknown
+	}
+	return &reply
+}
+
+// mayRetry decides whether another attempt is safe, useful and paid for.
+func (s *Sender) mayRetry(ctx context.Context, f *flight, reply *zinniayoke.Reply) bool {
+	if ctx.Err() != nil || f.Pool.Left() < 1 {
+		return false
+	}
+	if reply.Outcome == zinniayoke.OutcomeUnknown && f.Route.NeverRepeat || f.suspected {
+		return false
+	}
+	switch reply.Reason {
+	case zinniayoke.ReasonDraining, zinniayoke.ReasonNotReady:
+		return s.roomElsewhere(f)
+	case zinniayoke.ReasonShed, zinniayoke.ReasonNoUpstream, zinniayoke.ReasonAnswerLost,
+		zinniayoke.ReasonFenced, zinniayoke.ReasonTableFull:
+		return s.roomElsewhere(f) && s.cfg.Budgets.Spend(f.budget())
+	default:
+		return false
+	}
+}
+
+// roomElsewhere reports whether there is an upstream that was not tried.
+func (s *Sender) roomElsewhere(f *flight) bool {
+	_, ok := s.cfg.Picker.Pick(time.Now(), f.Call.Service, f.Call.Rank, f.excluded)
+	return ok
+}
+
+func (f *flight) budget() zyattempt.BudgetKey {
+	return zyattempt.BudgetKey{Caller: f.Call.Caller, Class: f.Route.Class.Name}
+}
+
+// once makes one attempt.
+func (s *Sender) once(ctx context.Context, f *flight) *zinniayoke.Reply {
+	to, refusal := s.pick(f)
+	if refusal != nil {
+		return refused(f.Call, refusal)
+	}
+	share, ok := f.Pool.Spend(f.Route.Calls)
+	if !ok {
+		return refused(f.Call, zinniayoke.Refuse(zinniayoke.ReasonAttemptsSpent, "the request has used up its attempts"))
+	}
+	a := s.attempt(f, to, share)
+	if f.Before != nil && !f.Before(a.ID, to.Node) {
+		f.Pool.Refund(share + 1)
+		return refused(f.Call, zinniayoke.Refuse(zinniayoke.ReasonStaleEpoch, "the key is kept elsewhere now"))
+	}
+	f.excluded = append(f.excluded, to.Node)
+	reply := s.exchange(ctx, to, a)
+	f.Pool.Refund(min(reply.Unused, share))
+	if reply.Outcome == zinniayoke.OutcomeDone {
+		s.cfg.Budgets.Earn(f.budget(), f.Route.RetryBudget)
+	}
+	return reply
+}
+
+// pick chooses the upstream, which for a suspected request is the same one for
+// all nodes.
+func (s *Sender) pick(f *flight) (zinniayoke.Upstream, *zinniayoke.CallError) {
+	c := f.Call
+	print := zysuspect.PrintOf(c.Service, c.Method, c.Path, c.Query, c.Body)
+	if s.judge(print) == zysuspect.RunAlone {
+		f.suspected = true
+		if u, ok := zysuspect.TrialUpstream(print, s.cfg.Roster.Upstreams(c.Service)); ok {
+			return u, nil
+		}
+	}
+	u, ok := s.cfg.Picker.Pick(time.Now(), c.Service, c.Rank, f.excluded)
+	if !ok && len(f.excluded) == len(f.Avoid) {
+		u, ok = s.cfg.Picker.Pick(time.Now(), c.Service, c.Rank, nil)
+	}
+	if !ok {
+		return u, zinniayoke.Refuse(zinniayoke.ReasonNoUpstream, "no worker of "+string(c.Service)+" is at hand")
+	}
+	return u, nil
+}
+
+func (s *Sender) judge(print zysuspect.Print) zysuspect.Verdict {
+	rules := s.cfg.Rules()
+	if rules == nil || rules.Released[print.String()] {
+		return zysuspect.RunFreely
+	}
+	return s.cfg.Suspects.Judge(time.Now(), print, rules.QuarantineFor)
+}
+
+func (s *Sender) attempt(f *flight, to zinniayoke.Upstream, share zinniayoke.Tokens) *zinniayoke.Attempt {
+	c := f.Call
+	return &zinniayoke.Attempt{
+		ID: s.cfg.NewID(), Request: c.Request, Caller: c.Caller, Service: c.Service, Route: c.Route,
+		Method: c.Method, Path: c.Path, Query: c.Query, Headers: c.Headers, Body: c.Body,
+		BodyHash: c.BodyHash, Key: c.Key, Grant: f.Grant, Rank: c.Rank, Left: time.Until(c.Deadline),
+		Tokens: share, Depth: c.Depth, Version: c.Version,
+	}
+}
+
+// exchange sends the attempt and finds out what became of it.
+func (s *Sender) exchange(ctx context.Context, to zinniayoke.Upstream, a *zinniayoke.Attempt) *zinniayoke.Reply {
+	start := time.Now()
+	s.cfg.Meter.Sent(a.Service)
+	s.cfg.Picker.Start(start, to.Node)
+	reply, err := s.cfg.Peers.Run(ctx, to, a)
+	if err == nil {
+		err = zyanswer.Check(reply, a.Request, a.ID)
+	}
+	if err == nil {
+		s.cfg.Picker.Replied(time.Now(), to.Node, time.Since(start), reply)
+		s.cfg.Door.Learn(time.Now(), a.Route, to.Node, reply.Threshold)
+		return reply
+	}
+	if ctx.Err() != nil {
+		s.cfg.Peers.Cancel(to, a.ID)
+		s.cfg.Picker.Abandoned(time.Now(), to.Node)
+		return lost(a, contextReason(ctx), "nobody waits for the answer any more")
+	}
+	if mismatch := (*zyanswer.MismatchError)(nil); errors.As(err, &mismatch) {
+		s.cfg.Meter.Mismatch()
+	}
+	s.cfg.Picker.Lost(time.Now(), to.Node)
+	return s.ask(ctx, to, a)
+}
+
+func contextReason(ctx context.Context) zinniayoke.Reason {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return zinniayoke.ReasonDeadline
+	}
+	return zinniayoke.ReasonCancelled
+}
+
+// ask finds out what became of an attempt without a usable reply.
+func (s *Sender) ask(ctx context.Context, to zinniayoke.Upstream, a *zinniayoke.Attempt) *zinniayoke.Reply {
+	failed := 0
+	for ctx.Err() == nil && failed < asksOffline {
+		told, err := s.askOnce(ctx, to, a.ID)
+		if err != nil {
+			failed++
+			pause(ctx)
+			continue
+		}
+		failed = 0
+		if told.Fate == zinniayoke.FateRunning {
+			pause(ctx)
+			continue
+		}
+		return s.settle(a, told)
+	}
+	return lost(a, zinniayoke.ReasonAnswerLost, "the node of the worker does not answer")
+}
+
+func (s *Sender) askOnce(ctx context.Context, to zinniayoke.Upstream, id zinniayoke.AttemptID) (*zinniayoke.AskReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	return s.cfg.Peers.Ask(ctx, to, id)
+}
+
+func (s *Sender) settle(a *zinniayoke.Attempt, told *zinniayoke.AskReply) *zinniayoke.Reply {
+	switch told.Fate {
+	case zinniayoke.FateNeverSeen:
+		return &zinniayoke.Reply{
+			Attempt: a.ID, Request: a.Request, Reason: zinniayoke.ReasonNoUpstream, Outcome: zinniayoke.OutcomeNotRun,
+			Detail: "the attempt did not arrive", Unused: a.Tokens,
+		}
+	case zinniayoke.FateAnswered:
+		if told.Reply != nil && zyanswer.Check(told.Reply, a.Request, a.ID) == nil {
+			return told.Reply
+		}
+		s.cfg.Meter.Mismatch()
+	case zinniayoke.FateRunning, zinniayoke.FateLost:
+	}
+	return lost(a, zinniayoke.ReasonAnswerLost, "the answer of the worker is lost")
+}
+
+func pause(ctx context.Context) {
+	timer := time.NewTimer(askPause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func lost(a *zinniayoke.Attempt, reason zinniayoke.Reason, detail string) *zinniayoke.Reply {
+	return &zinniayoke.Reply{
+		Attempt: a.ID, Request: a.Request, Reason: reason, Outcome: zinniayoke.OutcomeUnknown, Detail: detail,
+	}
+}
+
+func refused(c *zinniayoke.Call, e *zinniayoke.CallError) *zinniayoke.Reply {
+	return &zinniayoke.Reply{
+		Request: c.Request, Reason: e.Reason, Outcome: e.Outcome, Detail: e.Detail, RetryAfter: e.RetryAfter,
+	}
+}
--- /dev/null
+++ b/core/zyentry/entry.go
@@ -0,0 +1,139 @@
+// Package zyentry takes a call in: it finds the caller, the route, the deadline
+// and the attempts, sheds at the door, and sends the call on, for keys that
+// must run at most once through the keeper of the key.
+package zyentry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"zinniayoke"
+	"zinniayoke/core/zyattempt"
+	"zinniayoke/core/zybundle"
+	"zinniayoke/core/zydoor"
+	"zinniayoke/core/zyegress"
+	"zinniayoke/core/zyparent"
+	"zinniayoke/core/zyrank"
+	"zinniayoke/core/zysuspect"
+)
+
+// Inbound is a call as it came in.
+type Inbound struct {
+	Token   string
+	Claimed string
+	Key     string
+	// Context is the handle of the parent's call, "" for root requests.
+	Context string
+	// Timeout is what the caller allows, 0 for the route's own.
+	Timeout time.Duration
+	Service zinniayoke.Service
+	HTTP    *http.Request
+	Headers []zinniayoke.Header
+	Body    []byte
+}
+
+// Result is how a call ended.
+type Result struct {
+	Reply   *zinniayoke.Reply
+	Request zinniayoke.RequestID
+	// Attempts is how many sends the request has caused in its whole chain.
+	Attempts zinniayoke.Tokens
+}
+
+// Keepers runs requests whose keys are kept by some node.
+type Keepers interface {
+	// Run lets the keeper run the request. It always returns a reply.
+	Run(ctx context.Context, home zinniayoke.Domain, c *zinniayoke.Call) *zinniayoke.Reply
+	// Note reports whether the keeper confirms that the key ran nowhere.
+	Note(ctx context.Context, home zinniayoke.Domain, key zinniayoke.Key) bool
+}
+
+// Config configures an Entry.
+type Config struct {
+	Rules    func() *zybundle.Bundle
+	Parents  *zyparent.Table
+	Door     *zydoor.Door
+	Sender   *zyegress.Sender
+	Keepers  Keepers
+	Suspects *zysuspect.Book
+	Shares   *zyrank.Shares
+	Meter    zinniayoke.Meter
+	// NewID returns a fresh request id; nil means random ones.
+	NewID func() zinniayoke.RequestID
+}
+
+// Entry takes calls in. It may be used by several goroutines. An Entry must be
+// made with New.
+type Entry struct {
+	cfg    Config
+	limits limits
+	handle zinniayoke.Handler[*job, *zinniayoke.Reply]
+}
+
+// job is a call on its way through the filters.
+type job struct {
+	in     *Inbound
+	rules  *zybundle.Bundle
+	caller zybundle.Caller
+	route  *zybundle.Route
+	parent *zyparent.Parent
+	call   *zinniayoke.Call
+	pool   *zyattempt.Pool
+	// granted is how many attempts the call was given.
+	granted zinniayoke.Tokens
+}
+
+// New returns an entry.
+func New(cfg Config) *Entry {
+	if cfg.NewID == nil {
+		cfg.NewID = newRequestID
+	}
+	e := &Entry{cfg: cfg}
+	e.handle = zinniayoke.Pipe(e.send,
+		e.identify, e.findRoute, e.setDeadline, e.limitCaller, e.setKey, e.refuseQuarantined, e.shed, e.takeAttempts)
+	return e
+}
+
+// Handle answers a call. The result's reply is never nil.
+func (e *Entry) Handle(ctx context.Context, in *Inbound) *Result {
+	start := time.Now()
+	j := &job{in: in, rules: e.cfg.Rules(), call: &zinniayoke.Call{Service: in.Service}}
+	reply, err := e.handle(ctx, j)
+	if err != nil {
+		reply = e.replyOf(ctx, j, err)
+	}
+	if reply.Outcome == zinniayoke.OutcomeNotRun && j.in.Key != "" && !j.call.OwnKey {
+		// No keeper knows whether another send of this key has run.
+		told := *reply
+		told.Outcome = zinniayoke.OutcomeUnknown
+		reply = &told
+	}
+	e.cfg.Meter.Call(sampleOf(j, reply, time.Since(start)))
+	result := &Result{Reply: reply, Request: j.call.Request}
+	if j.pool != nil {
+		result.Attempts = j.granted - j.pool.Left()
+	}
+	return result
+}
+
+func sampleOf(j *job, reply *zinniayoke.Reply, took time.Duration) zinniayoke.CallSample {
+	s := zinniayoke.CallSample{
+		Caller: j.call.Caller, Outcome: reply.Outcome, Reason: reply.Reason, Took: took, Child: j.parent != nil,
+	}
+	if j.route != nil {
+		s.Class = j.route.Class.Name
+	}
+	return s
+}
+
+// send is the last step: the keeper or the sender.
+func (e *Entry) send(ctx context.Context, j *job) (*zinniayoke.Reply, error) {
+	if j.call.OwnKey {
+		home, _ := j.rules.HomeOf(j.call.Caller)
+		reply := e.cfg.Keepers.Run(ctx, home, j.call)
+		j.pool.Refund(reply.Unused)
+		return reply, nil
+	}
+	return e.cfg.Sender.Do(ctx, zyegress.Send{Call: j.call, Route: j.route, Pool: j.pool}), nil
+}
--- /dev/null
+++ b/core/zyentry/filter.go
@@ -0,0 +1,266 @@
+package zyentry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"zinniayoke"
+	"zinniayoke/core/zyattempt"
+	"zinniayoke/core/zyrank"
+	"zinniayoke/core/zysuspect"
+)
+
+type step = zinniayoke.Handler[*job, *zinniayoke.Reply]
+
+const (
+	longestKey = 200
+	deepest    = 32
+)
+
+func newRequestID() zinniayoke.RequestID {
+	return zinniayoke.RequestID(uuid.NewString())
+}
+
+// identify finds the caller: for a child call the one of its parent.
+func (e *Entry) identify(next step) step {
+	return func(ctx context.Context, j *job) (*zinniayoke.Reply, error) {
+		j.call.Request = e.cfg.NewID()
+		if j.rules == nil {
+			return nil, zinniayoke.Refuse(zinniayoke.ReasonNotReady, "no bundle is in force here yet")
+		}
+		if j.in.Context != "" {
+			if err := e.adopt(j); err != nil {
+				return nil, err
+			}
+			j.parent.StartChild(time.Now())
+			defer e.endChild(j)
+			return next(ctx, j)
+		}
+		caller, err := j.rules.CallerOf(j.in.Token, j.in.Claimed)
+		if err != nil {
+			return nil, fmt.Errorf("caller: %w", err)
+		}
+		j.caller = caller
+		j.call.Caller = caller.Name
+		return next(ctx, j)
+	}
+}
+
+func (e *Entry) endChild(j *job) {
+	now := time.Now()
+	threshold := zinniayoke.Rank(0)
+	if j.route != nil {
+		threshold = e.cfg.Door.Threshold(now, j.route.Name)
+	}
+	j.parent.EndChild(now, threshold)
+}
+
+// adopt makes the call a part of the request that its parent belongs to.
+func (e *Entry) adopt(j *job) error {
+	parent, ok := e.cfg.Parents.Find(j.in.Context)
+	if !ok {
+		return zinniayoke.Refuse(zinniayoke.ReasonCancelled, "the call that this one belongs to has ended")
+	}
+	if parent.Depth >= deepest {
+		return zinniayoke.Refuse(zinniayoke.ReasonMalformed, "the chain of calls is too deep")
+	}
+	j.parent = parent
+	j.call.Request = parent.Request
+	j.call.Caller = parent.Caller
+	j.call.Rank = parent.Rank
+	j.call.Depth = parent.Depth + 1
+	j.call.Version = parent.Version
+	return nil
+}
+
+// findRoute looks the route up and checks the size of the body.
+func (e *Entry) findRoute(next step) step {
+	return func(ctx context.Context, j *job) (*zinniayoke.Reply, error) {
+		route, err := j.rules.RouteOf(j.in.Service, j.in.HTTP)
+		if err != nil {
+			return nil, fmt.Errorf("route: %w", err)
+		}
+		j.route = route
+		if zinniayoke.Bytes(len(j.in.Body)) > route.MaxBody {
+			return nil, zinniayoke.Refuse(zinniayoke.ReasonTooLarge, fmt.Sprintf("the route takes at most %d bytes", route.MaxBody))
+		}
+		e.fill(j)
+		return next(ctx, j)
+	}
+}
+
+func (e *Entry) fill(j *job) {
+	c := j.call
+	c.Route = j.route.Name
+	c.Method = j.in.HTTP.Method
+	c.Path = j.in.HTTP.URL.Path
+	c.Query = j.in.HTTP.URL.RawQuery
+	c.Headers = j.in.Headers
+	c.Body = j.in.Body
+	c.BodyHash = uint64(zysuspect.PrintOf(c.Service, c.Method, c.Path, c.Query, c.Body))
+	if j.parent == nil {
+		c.Version = j.rules.Version
+		share := e.cfg.Shares.Of(time.Now(), j.caller.Name)
+		c.Rank = zyrank.Of(j.route.Class.Importance, j.caller.Urgency, share, c.Request)
+	}
+}
+
+// setDeadline takes the earliest of the caller's, the route's and the parent's.
+func (e *Entry) setDeadline(next step) step {
+	return func(ctx context.Context, j *job) (*zinniayoke.Reply, error) {
+		timeout := j.route.Timeout
+		if j.in.Timeout > 0 {
+			timeout = min(timeout, j.in.Timeout)
+		}
+		j.call.Deadline = time.Now().Add(timeout)
+		if j.parent != nil && j.parent.Deadline.Before(j.call.Deadline) {
+			j.call.Deadline = j.parent.Deadline
+		}
+		ctx, cancel := context.WithDeadline(ctx, j.call.Deadline)
+		defer cancel()
+		return next(ctx, j)
+	}
+}
+
+// limitCaller holds a caller to its own rate.
+func (e *Entry) limitCaller(next step) step {
+	return func(ctx context.Context, j *job) (*zinniayoke.Reply, error) {
+		if j.parent != nil || j.caller.Rate <= 0 {
+			return next(ctx, j)
+		}
+		if wait := e.limits.take(time.Now(), j.caller); wait > 0 {
+			refusal := zinniayoke.Refuse(zinniayoke.ReasonCallerLimit, "the caller is over its rate")
+			refusal.RetryAfter = wait
+			return nil, refusal
+		}
+		return next(ctx, j)
+	}
+}
+
+// setKey gives calls that must not repeat their key. A child's key follows from
+// its parent's, so that a parent that runs again meets the child's first run.
+func (e *Entry) setKey(next step) step {
+	return func(ctx context.Context, j *job) (*zinniayoke.Reply, error) {
+		if len(j.in.Key) > longestKey {
+			return nil, zinniayoke.Refuse(zinniayoke.ReasonMalformed, fmt.Sprintf("the key is longer than %d bytes", longestKey))
+		}
+		if !j.route.NeverRepeat {
+			return next(ctx, j)
+		}
+		c := j.call
+		switch {
+		case j.parent != nil:
+			c.Key = childKey(j)
+			c.OwnKey = true
+		case j.in.Key != "":
+			c.Key = zinniayoke.Key(string(c.Caller) + "\x00" + string(c.Route) + "\x00" + j.in.Key)
+			c.OwnKey = true
+		}
+		return next(ctx, j)
+	}
+}
+
+func childKey(j *job) zinniayoke.Key {
+	c, parent := j.call, j.parent
+	root := string(parent.Key)
+	if root == "" {
+		root = string(parent.Request)
+	}
+	name := j.in.Key
+	if name == "" {
+		name = strconv.Itoa(parent.Ordinal(c.BodyHash))
+	}
+	sum := xxhash.Sum64String(string(c.Route) + "\x00" + name + "\x00" + strconv.FormatUint(c.BodyHash, 16))
+	return zinniayoke.Key(root + "\x00" + strconv.FormatUint(sum, 16))
+}
+
+// refuseQuarantined refuses a request that crashes workers.
+func (e *Entry) refuseQuarantined(next step) step {
+	return func(ctx context.Context, j *job) (*zinniayoke.Reply, error) {
+		print := zysuspect.Print(j.call.BodyHash)
+		if j.rules.Released[print.String()] {
+			return next(ctx, j)
+		}
+		if e.cfg.Suspects.Judge(time.Now(), print, j.rules.QuarantineFor) == zysuspect.RunNever {
+			return nil, zysuspect.Refused(print)
+		}
+		return next(ctx, j)
+	}
+}
+
+// shed refuses at the door what a deeper hop would refuse. A child call whose
+// threshold rose after its parent was admitted is sent on: its worker's node
+// decides, where work already paid for goes first.
+func (e *Entry) shed(next step) step {
+	return func(ctx context.Context, j *job) (*zinniayoke.Reply, error) {
+		if j.parent == nil && !e.cfg.Door.Admit(time.Now(), j.route.Name, j.call.Rank) {
+			refusal := zinniayoke.Refuse(zinniayoke.ReasonShed, "more important requests fill the service")
+			refusal.RetryAfter = retryAfter(j.call)
+			return nil, refusal
+		}
+		return next(ctx, j)
+	}
+}
+
+// retryAfter spreads the re-sends of refused callers.
+func retryAfter(c *zinniayoke.Call) time.Duration {
+	const least, spread = 500 * time.Millisecond, time.Second
+	return least + time.Duration(xxhash.Sum64String(string(c.Request))%uint64(spread))
+}
+
+// takeAttempts gives the call its attempts: the route's number for a root
+// request, a share of the parent's for a child call.
+func (e *Entry) takeAttempts(next step) step {
+	return func(ctx context.Context, j *job) (*zinniayoke.Reply, error) {
+		need := 1 + j.route.Calls
+		if j.parent == nil {
+			j.granted = j.route.Attempts
+			j.pool = zyattempt.NewPool(j.granted, need)
+			j.call.Tokens = j.granted
+			return next(ctx, j)
+		}
+		j.granted = j.parent.Pool.Take(need)
+		if j.granted < 1 {
+			return nil, zinniayoke.Refuse(zinniayoke.ReasonAttemptsSpent, "the request has used up its attempts")
+		}
+		j.pool = zyattempt.NewPool(j.granted, need)
+		j.call.Tokens = j.granted
+		defer func() { j.parent.Pool.Refund(j.pool.Left()) }()
+		return next(ctx, j)
+	}
+}
+
+// replyOf turns an error into a reply. A refusal of a request that carries a
+// key says notRun only if the keeper confirms it, since another send of the
+// key may have run.
+func (e *Entry) replyOf(ctx context.Context, j *job, err error) *zinniayoke.Reply {
+	var refusal *zinniayoke.CallError
+	if !errors.As(err, &refusal) {
+		refusal = zinniayoke.Lose(zinniayoke.ReasonAnswerLost, err.Error())
+	}
+	reply := &zinniayoke.Reply{
+		Request: j.call.Request, Reason: refusal.Reason, Outcome: refusal.Outcome,
+		Detail: refusal.Detail, RetryAfter: refusal.RetryAfter,
+	}
+	if reply.Outcome == zinniayoke.OutcomeNotRun && !e.confirmed(ctx, j) {
+		reply.Outcome = zinniayoke.OutcomeUnknown
+	}
+	return reply
+}
+
+func (e *Entry) confirmed(ctx context.Context, j *job) bool {
+	if j.in.Key == "" && !j.call.OwnKey {
+		return true
+	}
+	if !j.call.OwnKey || j.rules == nil {
+		return false
+	}
+	home, _ := j.rules.HomeOf(j.call.Caller)
+	return e.cfg.Keepers.Note(ctx, home, j.call.Key)
+}
--- /dev/null
+++ b/core/zyhome/home.go
@@ -0,0 +1,392 @@
+// Package zyhome runs the requests whose keys this node keeps: it claims the
+// key, recovers slots from the other nodes, and lets re-sends of a key join the
+// run in progress.
+package zyhome
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"zinniayoke"
+	"zinniayoke/core/zyattempt"
+	"zinniayoke/core/zybundle"
+	"zinniayoke/core/zyclaim"
+	"zinniayoke/core/zyegress"
+)
+
+// Recall is what a node says when a keeper takes slots over.
+type Recall struct {
+	// Promised is the newest epoch that the node has promised for the slots. It
+	// is above the epoch asked for where the node refuses.
+	Promised zinniayoke.Epoch `codec:"p"`
+	Refused  bool             `codec:"r"`
+	Held     []zyclaim.Held   `codec:"h"`
+}
+
+// Elders asks other nodes about keys.
+type Elders interface {
+	// Recall asks a node for a promise and for what it remembers of the slots.
+	Recall(ctx context.Context, node zinniayoke.NodeID, slots []zinniayoke.Slot, epoch zinniayoke.Epoch) (*Recall, error)
+	// Ask asks a node what became of an attempt.
+	Ask(ctx context.Context, node zinniayoke.NodeID, id zinniayoke.AttemptID) (*zinniayoke.AskReply, error)
+}
+
+// Roll knows which nodes keep keys and which may remember some.
+type Roll interface {
+	// Keepers returns the nodes of a failure domain that keep keys.
+	Keepers(d zinniayoke.Domain) []zinniayoke.NodeID
+	// Memories returns the nodes that may remember keys and are there, and those
+	// that were lost, with the time.
+	Memories() (there []zinniayoke.NodeID, lost map[zinniayoke.NodeID]time.Time)
+}
+
+// Config configures a Home.
+type Config struct {
+	Node   zinniayoke.NodeID
+	Domain zinniayoke.Domain
+	Keeper *zyclaim.Keeper
+	Sender *zyegress.Sender
+	Rules  func() *zybundle.Bundle
+	Elders Elders
+	Roll   Roll
+}
+
+const (
+	recallTimeout = 700 * time.Millisecond
+	recallTries   = 4
+	recallPause   = 100 * time.Millisecond
+	mostAsked     = 64
+)
+
+// Home runs requests with keys. It may be used by several goroutines. A Home
+// must be made with New.
+type Home struct {
+	cfg Config
+
+	mu      sync.Mutex
+	joined  map[zinniayoke.Key]*shared
+	recover sync.Mutex
+	active  sync.WaitGroup
+}
+
+// shared is a run that several sends of its key wait for.
+type shared struct {
+	done  chan struct{}
+	reply *zinniayoke.Reply
+}
+
+// New returns a home.
+func New(cfg Config) *Home {
+	return &Home{cfg: cfg, joined: make(map[zinniayoke.Key]*shared)}
+}
+
+// Run answers a request with a key, running it at most once. The reply names
+// the attempt that ran, and the request that caused it.
+func (h *Home) Run(ctx context.Context, c *zinniayoke.Call, route *zybundle.Route) *zinniayoke.Reply {
+	slot := zyclaim.SlotOf(h.cfg.Domain, c.Key)
+	for ctx.Err() == nil {
+		if !h.mine(slot) {
+			return uncertain(c, zinniayoke.ReasonStaleEpoch, "the key is kept by another node")
+		}
+		h.mu.Lock()
+		d := h.cfg.Keeper.Claim(time.Now(), slot, c.Key, c.BodyHash, c.Tokens)
+		s := h.join(c, d)
+		h.mu.Unlock()
+		reply, again := h.follow(ctx, c, route, d, s)
+		if !again {
+			return reply
+		}
+	}
+	return uncertain(c, zinniayoke.ReasonDeadline, "the deadline passed at the keeper of the key")
+}
+
+// join returns the shared run that belongs to a decision. The lock is held, so
+// that a run ends either before the claim or after the join.
+func (h *Home) join(c *zinniayoke.Call, d zyclaim.Decision) *shared {
+	switch d.Step {
+	case zyclaim.StepRun:
+		s := &shared{done: make(chan struct{})}
+		h.joined[c.Key] = s
+		return s
+	case zyclaim.StepJoin:
+		return h.joined[c.Key]
+	default:
+		return nil
+	}
+}
+
+// follow carries out a decision. It reports true where the claim has to be made
+// again.
+func (h *Home) follow(ctx context.Context, c *zinniayoke.Call, route *zybundle.Route, d zyclaim.Decision, s *shared) (*zinniayoke.Reply, bool) {
+	switch d.Step {
+	case zyclaim.StepRecover:
+		return h.recoverFor(ctx, c)
+	case zyclaim.StepRun:
+		h.active.Add(1)
+		go h.run(c, route, d, s)
+		return wait(ctx, c, s)
+	case zyclaim.StepJoin:
+		return wait(ctx, c, s)
+	case zyclaim.StepAnswer:
+		return d.Reply, false
+	case zyclaim.StepAsk:
+		return h.ask(ctx, c, d)
+	case zyclaim.StepReused:
+		return uncertain(c, zinniayoke.ReasonKeyReused, "the key came with another body before"), false
+	case zyclaim.StepSpent:
+		return notRun(c, zinniayoke.ReasonAttemptsSpent, "the sends of this key have used up its attempts"), false
+	case zyclaim.StepUncertain:
+	}
+	return uncertain(c, zinniayoke.ReasonKeyUncertain, "a node that may have run this key is out of reach"), false
+}
+
+func wait(ctx context.Context, c *zinniayoke.Call, s *shared) (*zinniayoke.Reply, bool) {
+	if s == nil {
+		return uncertain(c, zinniayoke.ReasonKeyUncertain, "the run of this key is not at hand"), false
+	}
+	select {
+	case <-s.done:
+		return s.reply, false
+	case <-ctx.Done():
+		return uncertain(c, zinniayoke.ReasonDeadline, "the deadline passed while the request ran"), false
+	}
+}
+
+// run runs the key to its end, also if the caller has gone, since a re-send
+// will ask for the answer.
+func (h *Home) run(c *zinniayoke.Call, route *zybundle.Route, d zyclaim.Decision, s *shared) {
+	defer h.active.Done()
+	ctx, cancel := context.WithDeadline(context.Background(), c.Deadline)
+	defer cancel()
+	pool := zyattempt.NewPool(d.Tokens, 1+route.Calls)
+	reply := h.cfg.Sender.Do(ctx, zyegress.Send{
+		Call: c, Route: route, Pool: pool, Grant: d.Grant,
+		Before: func(id zinniayoke.AttemptID, to zinniayoke.NodeID) bool {
+			return h.cfg.Keeper.Sent(time.Now(), d.Grant, c.Key, id, to)
+		},
+		Avoid: []zinniayoke.NodeID{h.cfg.Node},
+	})
+	left := pool.Close()
+	reply.Unused = left
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.cfg.Keeper.Settle(time.Now(), d.Grant, c.Key, reply, d.Tokens-left)
+	s.reply = reply
+	delete(h.joined, c.Key)
+	close(s.done)
+}
+
+// ask finds out what became of a run that ended without an answer.
+func (h *Home) ask(ctx context.Context, c *zinniayoke.Call, d zyclaim.Decision) (*zinniayoke.Reply, bool) {
+	short, cancel := context.WithTimeout(ctx, recallTimeout)
+	defer cancel()
+	told, err := h.cfg.Elders.Ask(short, d.Node, d.Attempt)
+	if err != nil || told.Fate == zinniayoke.FateLost {
+		return uncertain(c, zinniayoke.ReasonKeyUncertain, "the answer to this key is lost"), false
+	}
+	if told.Fate == zinniayoke.FateRunning {
+		return nil, sleep(ctx, recallPause)
+	}
+	if told.Fate == zinniayoke.FateAnswered && told.Reply.Outcome == zinniayoke.OutcomeUnknown {
+		return uncertain(c, told.Reply.Reason, "the answer to this key is lost"), false
+	}
+	h.cfg.Keeper.Learn(time.Now(), zyclaim.SlotOf(h.cfg.Domain, c.Key), c.Key, d.Attempt, told)
+	return nil, true
+}
+
+// Note reports whether a request that was refused at its entry certainly ran
+// nowhere before.
+func (h *Home) Note(ctx context.Context, key zinniayoke.Key) bool {
+	slot := zyclaim.SlotOf(h.cfg.Domain, key)
+	if !h.mine(slot) {
+		return false
+	}
+	if len(h.cfg.Keeper.Closed([]zinniayoke.Slot{slot})) > 0 && h.Recover(ctx) != nil {
+		return false
+	}
+	return h.cfg.Keeper.Note(time.Now(), slot, key)
+}
+
+func (h *Home) mine(slot zinniayoke.Slot) bool {
+	return zyclaim.KeeperOf(slot, h.cfg.Roll.Keepers(h.cfg.Domain)) == h.cfg.Node
+}
+
+func (h *Home) recoverFor(ctx context.Context, c *zinniayoke.Call) (*zinniayoke.Reply, bool) {
+	if err := h.Recover(ctx); err != nil {
+		return uncertain(c, zinniayoke.ReasonKeyUncertain, err.Error()), false
+	}
+	return nil, true
+}
+
+// RecoveryError says why slots could not be taken over.
+type RecoveryError struct {
+	Problem string
+	Err     error
+}
+
+// Error returns the problem and its cause.
+func (e *RecoveryError) Error() string {
+	if e.Err != nil {
+		return "taking over keys: " + e.Problem + ": " + e.Err.Error()
+	}
+	return "taking over keys: " + e.Problem
+}
+
+// Unwrap returns the cause, which may be nil.
+func (e *RecoveryError) Unwrap() error {
+	return e.Err
+}
+
+// Recover takes over all slots that belong to this node and are not open here.
+// The error is a *RecoveryError.
+func (h *Home) Recover(ctx context.Context) error {
+	h.recover.Lock()
+	defer h.recover.Unlock()
+	slots := h.cfg.Keeper.Closed(h.owned())
+	if len(slots) == 0 {
+		return nil
+	}
+	highest := zinniayoke.Epoch{}
+	for range recallTries {
+		r := h.cfg.Keeper.StartRecovery(slots, highest)
+		promised, refused := h.collect(ctx, r)
+		if !refused {
+			h.cfg.Keeper.FinishRecovery(time.Now(), r)
+			return nil
+		}
+		highest = promised
+		if !sleep(ctx, recallPause) {
+			return &RecoveryError{Problem: "out of time", Err: ctx.Err()}
+		}
+	}
+	return &RecoveryError{Problem: "other keepers took the slots at the same time"}
+}
+
+func (h *Home) owned() []zinniayoke.Slot {
+	keepers := h.cfg.Roll.Keepers(h.cfg.Domain)
+	var slots []zinniayoke.Slot
+	for n := range zyclaim.Slots {
+		slot := zinniayoke.Slot{Domain: h.cfg.Domain, Number: n}
+		if zyclaim.KeeperOf(slot, keepers) == h.cfg.Node {
+			slots = append(slots, slot)
+		}
+	}
+	return slots
+}
+
+// Retain gives up the slots that belong to another node now, and those whose
+// recovery missed a node that is there again.
+func (h *Home) Retain() {
+	keepers := h.cfg.Roll.Keepers(h.cfg.Domain)
+	h.cfg.Keeper.Retain(func(s zinniayoke.Slot) bool { return zyclaim.KeeperOf(s, keepers) == h.cfg.Node })
+	there, _ := h.cfg.Roll.Memories()
+	h.cfg.Keeper.Revisit(there)
+}
+
+// collect asks all nodes that may remember keys for their promise.
+func (h *Home) collect(ctx context.Context, r *zyclaim.Recovery) (highest zinniayoke.Epoch, refused bool) {
+	there, lost := h.cfg.Roll.Memories()
+	for node, at := range lost {
+		r.Missing(node, at)
+	}
+	type answer struct {
+		node   zinniayoke.NodeID
+		recall *Recall
+		err    error
+	}
+	answers := make(chan answer, len(there))
+	places := make(chan struct{}, mostAsked)
+	for _, node := range there {
+		go func() {
+			places <- struct{}{}
+			defer func() { <-places }()
+			recall, err := h.recall(ctx, node, r)
+			answers <- answer{node: node, recall: recall, err: err}
+		}()
+	}
+	for range there {
+		a := <-answers
+		switch {
+		case a.err != nil:
+			r.Missing(a.node, time.Now())
+		case a.recall.Refused:
+			refused = true
+			if highest.Less(a.recall.Promised) {
+				highest = a.recall.Promised
+			}
+		default:
+			r.Told(a.recall.Held)
+		}
+	}
+	return highest, refused
+}
+
+func (h *Home) recall(ctx context.Context, node zinniayoke.NodeID, r *zyclaim.Recovery) (*Recall, error) {
+	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
+	defer cancel()
+	recall, err := h.cfg.Elders.Recall(ctx, node, r.Slots, r.Epoch)
+	if err != nil {
+		return nil, &RecoveryError{Problem: "node " + string(node), Err: err}
+	}
+	return recall, nil
+}
+
+// Drain waits until the runs at hand have ended or ctx is done, whose error it
+// returns then.
+func (h *Home) Drain(ctx context.Context) error {
+	ended := make(chan struct{})
+	go func() {
+		h.active.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// Answerer is the other side of Elders.Recall: what this node remembers as the
+// node of a worker and as an earlier keeper.
+type Answerer struct {
+	Grants *zyclaim.Grants
+	Keeper *zyclaim.Keeper
+}
+
+// Recall promises the epoch and returns what is remembered of the slots.
+func (a Answerer) Recall(slots []zinniayoke.Slot, epoch zinniayoke.Epoch) *Recall {
+	now := time.Now()
+	held, err := a.Grants.Promise(now, slots, epoch)
+	if refusal := (*zinniayoke.CallError)(nil); errors.As(err, &refusal) {
+		recall := &Recall{Refused: true}
+		for _, slot := range slots {
+			if promised := a.Grants.Promised(slot); recall.Promised.Less(promised) {
+				recall.Promised = promised
+			}
+		}
+		return recall
+	}
+	return &Recall{Held: append(held, a.Keeper.Surrender(now, slots, epoch)...)}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func uncertain(c *zinniayoke.Call, reason zinniayoke.Reason, detail string) *zinniayoke.Reply {
+	return &zinniayoke.Reply{Request: c.Request, Reason: reason, Outcome: zinniayoke.OutcomeUnknown, Detail: detail}
+}
+
+func notRun(c *zinniayoke.Call, reason zinniayoke.Reason, detail string) *zinniayoke.Reply {
+	return &zinniayoke.Reply{Request: c.Request, Reason: reason, Outcome: zinniayoke.OutcomeNotRun, Detail: detail}
+}
--- /dev/null
+++ b/core/zyingress/receiver.go
@@ -0,0 +1,441 @@
+// Package zyingress admits attempts to the worker on the node's own host, runs
+// them there, and says truthfully what became of each.
+package zyingress
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"zinniayoke"
+	"zinniayoke/core/zyadmission"
+	"zinniayoke/core/zyanswer"
+	"zinniayoke/core/zyattempt"
+	"zinniayoke/core/zybundle"
+	"zinniayoke/core/zyclaim"
+	"zinniayoke/core/zyfence"
+	"zinniayoke/core/zyparent"
+	"zinniayoke/core/zysuspect"
+	"zinniayoke/core/zytimer"
+)
+
+// Config configures a Receiver.
+type Config struct {
+	Node     zinniayoke.NodeID
+	Rules    func() *zybundle.Bundle
+	Fence    *zyfence.Table
+	Grants   *zyclaim.Grants
+	Suspects *zysuspect.Book
+	Parents  *zyparent.Table
+	Timer    *zytimer.Service
+	Meter    zinniayoke.Meter
+	// OnSuspects is called with the requests that were in flight at a crash.
+	OnSuspects func(cases []zysuspect.Case)
+}
+
+const (
+	tickPeriod    = 10 * time.Millisecond
+	announceLapse = 3 * time.Second
+	probeTimeout  = 200 * time.Millisecond
+	leastRetry    = 200 * time.Millisecond
+	spreadRetry   = 800 * time.Millisecond
+)
+
+// Receiver runs attempts at one worker. It may be used by several goroutines.
+// A Receiver must be made with New.
+type Receiver struct {
+	cfg  Config
+	tick *zytimer.Subscription
+
+	mu       sync.Mutex
+	worker   zinniayoke.Worker
+	told     Announcement
+	toldAt   time.Time
+	crashed  bool
+	draining bool
+	gate     *zyadmission.Gate
+	calls    map[zinniayoke.AttemptID]*run
+	// alone is the suspected request that runs by itself, or nil.
+	alone *run
+	idle  chan struct{}
+}
+
+// run is an attempt that waits or runs.
+type run struct {
+	attempt *zinniayoke.Attempt
+	print   zysuspect.Print
+	arrived time.Time
+	started time.Time
+	// decided receives the gate's decision.
+	decided chan zinniayoke.Reason
+	cancel  context.CancelFunc
+	running bool
+}
+
+// New returns a receiver that has no worker yet.
+func New(cfg Config) *Receiver {
+	r := &Receiver{cfg: cfg, calls: make(map[zinniayoke.AttemptID]*run)}
+	r.tick = cfg.Timer.Every(tickPeriod, r.onTick)
+	return r
+}
+
+// Run admits and runs an attempt. It always returns a reply.
+func (r *Receiver) Run(ctx context.Context, a *zinniayoke.Attempt) *zinniayoke.Reply {
+	if err := r.cfg.Fence.Begin(time.Now(), a.ID); err != nil {
+		return r.refuse(a, err)
+	}
+	reply := r.run(ctx, a)
+	r.cfg.Fence.End(time.Now(), a.ID, reply)
+	return reply
+}
+
+func (r *Receiver) run(ctx context.Context, a *zinniayoke.Attempt) *zinniayoke.Reply {
+	ctx, cancel := context.WithTimeout(ctx, a.Left)
+	defer cancel()
+	c := &run{
+		attempt: a, arrived: time.Now(), cancel: cancel,
+		print:   zysuspect.PrintOf(a.Service, a.Method, a.Path, a.Query, a.Body),
+		decided: make(chan zinniayoke.Reason, 1),
+	}
+	worker, err := r.admit(ctx, c)
+	if err != nil {
+		return r.refuse(a, err)
+	}
+	if err := r.await(ctx, c); err != nil {
+		return r.refuse(a, err)
+	}
+	reply := r.hand(ctx, c, worker)
+	r.leave(c)
+	return reply
+}
+
+// admit brings the attempt to the gate.
+func (r *Receiver) admit(ctx context.Context, c *run) (zinniayoke.Worker, error) {
+	now := time.Now()
+	verdict := r.judge(now, c.print)
+	if verdict == zysuspect.RunAlone {
+		if err := r.reserve(ctx, c); err != nil {
+			return nil, err
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	worker, err := r.enter(now, verdict, c)
+	if err != nil && r.alone == c {
+		r.alone = nil
+	}
+	return worker, err
+}
+
+// enter hands the attempt to the gate. The lock is held.
+func (r *Receiver) enter(now time.Time, verdict zysuspect.Verdict, c *run) (zinniayoke.Worker, error) {
+	if err := r.available(now, c.attempt); err != nil {
+		return nil, err
+	}
+	if err := r.admitSuspect(verdict, c); err != nil {
+		return nil, err
+	}
+	r.calls[c.attempt.ID] = c
+	item := zyadmission.Item{
+		ID: c.attempt.ID, Route: c.attempt.Route, Rank: c.attempt.Rank,
+		Depth: c.attempt.Depth, Deadline: now.Add(c.attempt.Left),
+	}
+	r.carryOut(now, r.gate.Arrive(now, item))
+	return r.worker, nil
+}
+
+func (r *Receiver) judge(now time.Time, p zysuspect.Print) zysuspect.Verdict {
+	rules := r.cfg.Rules()
+	if rules == nil || rules.Released[p.String()] {
+		return zysuspect.RunFreely
+	}
+	return r.cfg.Suspects.Judge(now, p, rules.QuarantineFor)
+}
+
+// available says why the worker can take no call now, or nil.
+func (r *Receiver) available(now time.Time, a *zinniayoke.Attempt) error {
+	switch {
+	case r.draining:
+		return zinniayoke.Refuse(zinniayoke.ReasonDraining, "the node is stopping")
+	case r.worker == nil || r.crashed || now.Sub(r.toldAt) > announceLapse:
+		return zinniayoke.Refuse(zinniayoke.ReasonNoUpstream, "the worker is gone")
+	case r.told.Service != a.Service:
+		return zinniayoke.Refuse(zinniayoke.ReasonNoUpstream, "the worker serves "+string(r.told.Service))
+	case r.told.State == zinniayoke.WorkerDraining:
+		return zinniayoke.Refuse(zinniayoke.ReasonDraining, "the worker is draining")
+	case r.told.State != zinniayoke.WorkerServing:
+		return zinniayoke.Refuse(zinniayoke.ReasonNotReady, "the worker is starting")
+	}
+	return nil
+}
+
+// admitSuspect refuses what is quarantined, and everything beside a suspect.
+func (r *Receiver) admitSuspect(verdict zysuspect.Verdict, c *run) error {
+	if verdict == zysuspect.RunNever {
+		return zysuspect.Refused(c.print)
+	}
+	if r.alone != nil && r.alone != c {
+		return zinniayoke.Refuse(zinniayoke.ReasonNotReady, "a suspected request runs alone")
+	}
+	return nil
+}
+
+// reserve keeps the worker for a suspected request and waits until the worker
+// runs nothing else.
+func (r *Receiver) reserve(ctx context.Context, c *run) error {
+	r.mu.Lock()
+	if r.alone != nil {
+		r.mu.Unlock()
+		return zinniayoke.Refuse(zinniayoke.ReasonNotReady, "another suspected request runs alone")
+	}
+	r.alone = c
+	idle := r.whenIdle()
+	r.mu.Unlock()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.alone = nil
+	return refusalOf(ctx)
+}
+
+// whenIdle returns a channel that is closed once no call is at hand. The lock
+// is held.
+func (r *Receiver) whenIdle() <-chan struct{} {
+	if r.idle == nil {
+		r.idle = make(chan struct{})
+	}
+	idle := r.idle
+	if len(r.calls) == 0 {
+		close(r.idle)
+		r.idle = nil
+	}
+	return idle
+}
+
+// await waits for the gate's decision.
+func (r *Receiver) await(ctx context.Context, c *run) error {
+	select {
+	case reason := <-c.decided:
+		return r.decision(c, reason)
+	case <-ctx.Done():
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.gate.Leave(c.attempt.ID) {
+		r.forget(c)
+		return refusalOf(ctx)
+	}
+	// The gate has decided meanwhile.
+	if reason := <-c.decided; reason != zinniayoke.ReasonNone {
+		return zinniayoke.Refuse(reason, "refused by the worker's node")
+	}
+	r.carryOut(time.Now(), r.gate.Finish(time.Now(), c.attempt.ID, 0))
+	r.forget(c)
+	return refusalOf(ctx)
+}
+
+func (r *Receiver) decision(c *run, reason zinniayoke.Reason) error {
+	if reason == zinniayoke.ReasonNone {
+		return nil
+	}
+	e := zinniayoke.Refuse(reason, "refused by the worker's node")
+	e.RetryAfter = leastRetry + time.Duration(uint64(c.print)%uint64(spreadRetry))
+	return e
+}
+
+func refusalOf(ctx context.Context) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return zinniayoke.Refuse(zinniayoke.ReasonDeadline, "the deadline passed in the queue")
+	}
+	return zinniayoke.Refuse(zinniayoke.ReasonCancelled, "cancelled in the queue")
+}
+
+// hand gives the attempt to the worker and reads its answer.
+func (r *Receiver) hand(ctx context.Context, c *run, worker zinniayoke.Worker) *zinniayoke.Reply {
+	a := c.attempt
+	if keyed(a) {
+		if err := r.cfg.Grants.Begin(time.Now(), a); err != nil {
+			return r.refuse(a, err)
+		}
+	}
+	parent := &zyparent.Parent{
+		Request: a.Request, Caller: a.Caller, Key: a.Key, Rank: a.Rank, Depth: a.Depth, Version: a.Version,
+		Deadline: c.arrived.Add(a.Left), Pool: zyattempt.NewPool(a.Tokens, a.Tokens), Done: ctx.Done(),
+	}
+	handle := r.cfg.Parents.Open(parent)
+	answer, handed, err := worker.Run(ctx, &zinniayoke.WorkerCall{Attempt: a, Context: handle, Left: time.Until(parent.Deadline)})
+	r.cfg.Parents.Close(handle)
+	c.started = c.started.Add(parent.Waited())
+	reply := r.reply(ctx, c, answer, handed, err)
+	reply.Unused = parent.Pool.Close()
+	reply.Threshold = max(reply.Threshold, parent.Threshold())
+	if keyed(a) {
+		r.cfg.Grants.End(time.Now(), a.Key, a.ID, reply)
+	}
+	return reply
+}
+
+// keyed reports whether a keeper granted the attempt.
+func keyed(a *zinniayoke.Attempt) bool {
+	return a.Key != "" && a.Grant != zinniayoke.Grant{}
+}
+
+func (r *Receiver) reply(ctx context.Context, c *run, answer *zinniayoke.Answer, handed bool, err error) *zinniayoke.Reply {
+	a := c.attempt
+	if err == nil && r.isTrustedShed(a.Service, answer) {
+		return r.refuse(a, zinniayoke.Refuse(zinniayoke.ReasonShed, "the worker has shed the call"))
+	}
+	if err == nil {
+		r.cfg.Suspects.Clear(c.print)
+		zyanswer.Stamp(answer, a.Request, a.ID)
+		reply := r.blank(a)
+		reply.Answer = answer
+		reply.Outcome = zinniayoke.OutcomeDone
+		return reply
+	}
+	if !handed {
+		return r.refuse(a, zinniayoke.Refuse(zinniayoke.ReasonNoUpstream, "the worker takes no connections"))
+	}
+	if ctx.Err() == nil {
+		r.checkCrash()
+		return r.refuse(a, zinniayoke.Lose(zinniayoke.ReasonAnswerLost, "the worker broke off"))
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return r.refuse(a, zinniayoke.Lose(zinniayoke.ReasonDeadline, "the worker did not answer in time"))
+	}
+	return r.refuse(a, zinniayoke.Lose(zinniayoke.ReasonCancelled, "cancelled while it ran"))
+}
+
+func (r *Receiver) isTrustedShed(s zinniayoke.Service, answer *zinniayoke.Answer) bool {
+	const shedStatus = 503
+	rules := r.cfg.Rules()
+	return answer.Status == shedStatus && rules != nil && rules.Services[s].TrustShed
+}
+
+// checkCrash finds out whether the worker has crashed. All requests that were
+// in flight at the first sign are suspects.
+func (r *Receiver) checkCrash() {
+	r.mu.Lock()
+	worker, incarnation := r.worker, r.told.Incarnation
+	prints := r.running()
+	r.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	if worker.Probe(ctx) == nil {
+		return
+	}
+	r.mu.Lock()
+	first := !r.crashed && r.told.Incarnation == incarnation
+	r.crashed = r.crashed || first
+	r.mu.Unlock()
+	if !first {
+		return
+	}
+	cases := r.cfg.Suspects.Crash(time.Now(), prints)
+	if r.cfg.OnSuspects != nil {
+		r.cfg.OnSuspects(cases)
+	}
+}
+
+func (r *Receiver) running() []zysuspect.Print {
+	var prints []zysuspect.Print
+	for _, c := range r.calls {
+		if c.running {
+			prints = append(prints, c.print)
+		}
+	}
+	return prints
+}
+
+// leave takes a call that has run out of the gate.
+func (r *Receiver) leave(c *run) {
+	now := time.Now()
+	took := now.Sub(c.started)
+	r.mu.Lock()
+	r.carryOut(now, r.gate.Finish(now, c.attempt.ID, took))
+	limit, running := r.gate.Limit(now), r.gate.Running()
+	r.forget(c)
+	r.mu.Unlock()
+	r.cfg.Meter.Attempt(zinniayoke.AttemptSample{
+		Class: r.classOf(c.attempt.Route), Waited: c.started.Sub(c.arrived), Ran: took, Limit: limit, Running: running,
+	})
+}
+
+func (r *Receiver) classOf(route zinniayoke.RouteName) zinniayoke.ClassName {
+	rules := r.cfg.Rules()
+	if rules == nil {
+		return ""
+	}
+	if known, ok := rules.Routes[route]; ok {
+		return known.Class.Name
+	}
+	return ""
+}
+
+// carryOut tells waiting calls what the gate has decided. The lock is held.
+func (r *Receiver) carryOut(now time.Time, res zyadmission.Result) {
+	for _, item := range res.Start {
+		if c, ok := r.calls[item.ID]; ok {
+			c.running = true
+			c.started = now
+			c.decided <- zinniayoke.ReasonNone
+		}
+	}
+	for _, refusal := range res.Refuse {
+		if c, ok := r.calls[refusal.Item.ID]; ok {
+			c.decided <- refusal.Reason
+			r.forget(c)
+		}
+	}
+}
+
+// forget removes a call. The lock is held.
+func (r *Receiver) forget(c *run) {
+	delete(r.calls, c.attempt.ID)
+	if r.alone == c {
+		r.alone = nil
+	}
+	if len(r.calls) == 0 && r.idle != nil {
+		close(r.idle)
+		r.idle = nil
+	}
+}
+
+func (r *Receiver) onTick(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.gate != nil {
+		r.carryOut(now, r.gate.Tick(now))
+	}
+}
+
+// blank returns a reply with the threshold and the load of the worker.
+func (r *Receiver) blank(a *zinniayoke.Attempt) *zinniayoke.Reply {
+	const percent = 100
+	reply := &zinniayoke.Reply{Attempt: a.ID, Request: a.Request}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.gate != nil {
+		reply.Threshold = r.gate.Threshold()
+		reply.Load = (r.gate.Running() + r.gate.Waiting()) * percent / r.gate.Limit(time.Now())
+	}
+	return reply
+}
+
+// refuse returns the reply for an attempt without an answer.
+func (r *Receiver) refuse(a *zinniayoke.Attempt, err error) *zinniayoke.Reply {
+	reply := r.blank(a)
+	reply.Unused = a.Tokens
+	var call *zinniayoke.CallError
+	if !errors.As(err, &call) {
+		call = zinniayoke.Lose(zinniayoke.ReasonAnswerLost, err.Error())
+	}
+	reply.Reason, reply.Outcome, reply.Detail = call.Reason, call.Outcome, call.Detail
+	reply.RetryAfter = call.RetryAfter
+	return reply
+}
--- /dev/null
+++ b/core/zyingress/worker.go
@@ -0,0 +1,172 @@
+package zyingress
+
+import (
+	"context"
+	"time"
+
+	"zinniayoke"
+	"zinniayoke/core/zyadmission"
+)
+
+// Announcement is what a worker says about itself, each second.
+type Announcement struct {
+	Service     zinniayoke.Service     `json:"service"`
+	Address     string                 `json:"address"`
+	Slots       int                    `json:"slots"`
+	Connections int                    `json:"connections"`
+	State       zinniayoke.WorkerState `json:"state"`
+	Incarnation zinniayoke.Incarnation `json:"incarnation"`
+}
+
+// Bounds of what a worker may announce.
+const (
+	MostSlots       = 100_000
+	MostConnections = 100_000
+)
+
+// AnnouncementError says which field of an announcement is wrong.
+type AnnouncementError struct {
+	Field    string
+	Accepted string
+}
+
+// Error names the field and what is accepted.
+func (e *AnnouncementError) Error() string {
+	return "announcement: " + e.Field + ": accepted: " + e.Accepted
+}
+
+// Check returns an *AnnouncementError where a field is out of range.
+func (a Announcement) Check() error {
+	switch {
+	case a.Service == "":
+		return &AnnouncementError{Field: "service", Accepted: "the name of a service"}
+	case a.Address == "":
+		return &AnnouncementError{Field: "address", Accepted: "an IP number and a port"}
+	case a.Slots < 1 || a.Slots > MostSlots:
+		return &AnnouncementError{Field: "slots", Accepted: "1 to 100000"}
+	case a.Connections < 1 || a.Connections > MostConnections:
+		return &AnnouncementError{Field: "connections", Accepted: "1 to 100000"}
+	case a.State < zinniayoke.WorkerStarting || a.State > zinniayoke.WorkerDraining:
+		return &AnnouncementError{Field: "state", Accepted: "starting, serving or draining"}
+	}
+	return nil
+}
+
+// Announce takes in what the worker says. Connect is called for a worker that
+// is new or has moved. It reports whether others need to know of a change.
+func (r *Receiver) Announce(a Announcement, connect func(Announcement) zinniayoke.Worker) (bool, error) {
+	if err := a.Check(); err != nil {
+		return false, err
+	}
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fresh := r.worker == nil || a.Incarnation > r.told.Incarnation
+	if r.worker != nil && a.Incarnation < r.told.Incarnation {
+		return false, &AnnouncementError{Field: "incarnation", Accepted: "one that is not older than the last"}
+	}
+	changed := fresh || a != r.told || now.Sub(r.toldAt) > announceLapse
+	if fresh || a.Address != r.told.Address || a.Connections != r.told.Connections {
+		r.worker = connect(a)
+	}
+	if fresh {
+		r.newGate(now, a)
+	}
+	r.gate.Announce(a.Slots)
+	r.told, r.toldAt = a, now
+	return changed, nil
+}
+
+// newGate starts over for a worker that has restarted. Calls that wait move on
+// by their own contexts; calls that run are lost with the old worker.
+func (r *Receiver) newGate(now time.Time, a Announcement) {
+	cfg := zyadmission.Config{Slots: a.Slots, Started: now}
+	rules := r.cfg.Rules()
+	if rules != nil && r.worker != nil && r.gate != nil {
+		cfg.WarmUp = rules.Services[a.Service].WarmUp
+	}
+	old := r.gate
+	r.gate = zyadmission.NewGate(cfg)
+	r.crashed = false
+	if old == nil {
+		return
+	}
+	for _, c := range r.calls {
+		if !c.running && old.Leave(c.attempt.ID) {
+			c.decided <- zinniayoke.ReasonNoUpstream
+			r.forget(c)
+		}
+	}
+}
+
+// Worker returns the last announcement, and its state as others should see it.
+func (r *Receiver) Worker() (Announcement, zinniayoke.WorkerState) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case r.worker == nil:
+		return r.told, zinniayoke.WorkerGone
+	case r.draining:
+		return r.told, zinniayoke.WorkerDraining
+	case r.crashed || time.Since(r.toldAt) > announceLapse:
+		return r.told, zinniayoke.WorkerGone
+	}
+	return r.told, r.told.State
+}
+
+// Load is how busy the worker is.
+type Load struct {
+	Limit     int             `json:"limit"`
+	Running   int             `json:"running"`
+	Waiting   int             `json:"waiting"`
+	Threshold zinniayoke.Rank `json:"threshold"`
+}
+
+// Load returns how busy the worker is.
+func (r *Receiver) Load() Load {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.gate == nil {
+		return Load{}
+	}
+	return Load{
+		Limit: r.gate.Limit(time.Now()), Running: r.gate.Running(),
+		Waiting: r.gate.Waiting(), Threshold: r.gate.Threshold(),
+	}
+}
+
+// Ask returns the fate of an attempt and fences one that was never seen.
+func (r *Receiver) Ask(id zinniayoke.AttemptID) (*zinniayoke.AskReply, error) {
+	return r.cfg.Fence.Ask(time.Now(), id)
+}
+
+// Cancel ends an attempt that nobody waits for. An attempt with a grant runs
+// on, since a re-send of its key will want the answer.
+func (r *Receiver) Cancel(id zinniayoke.AttemptID) {
+	r.mu.Lock()
+	c, ok := r.calls[id]
+	r.mu.Unlock()
+	if ok && !keyed(c.attempt) {
+		c.cancel()
+	}
+}
+
+// Drain refuses new attempts and waits until those at hand have ended or ctx is
+// done, whose error it returns then.
+func (r *Receiver) Drain(ctx context.Context) error {
+	r.mu.Lock()
+	r.draining = true
+	idle := r.whenIdle()
+	r.mu.Unlock()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// Close ends the receiver's subscription to the timer.
+func (r *Receiver) Close() {
+	r.tick.Cancel()
+}
--- /dev/null
+++ b/core/zyini/value.go
@@ -0,0 +1,215 @@
+package zyini
+
+import (
+	"encoding/hex"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"zinniayoke"
+)
+
+// Kind reads one kind of value. Parse returns false for text that is not one.
+type Kind[T any] struct {
+	Parse    func(text string) (T, bool)
+	Accepted string
+}
+
+// Get returns the value of key, or fallback where the section lacks it.
+// A bad value is rejected and fallback returned.
+func Get[T any](s *Section, key string, kind Kind[T], fallback T) T {
+	s.used[key] = true
+	if !s.Has(key) {
+		return fallback
+	}
+	text := s.ini.Key(key).String()
+	value, ok := kind.Parse(text)
+	if !ok {
+		s.Reject(key, quote(text), kind.Accepted)
+		return fallback
+	}
+	return value
+}
+
+// Need returns the value of key and rejects a section that lacks it.
+func Need[T any](s *Section, key string, kind Kind[T]) T {
+	var zero T
+	if !s.Has(key) {
+		s.used[key] = true
+		s.Reject(key, "no value", kind.Accepted)
+		return zero
+	}
+	return Get(s, key, kind, zero)
+}
+
+// Text accepts any text that is not empty.
+func Text[T ~string]() Kind[T] {
+	return Kind[T]{
+		Parse:    func(text string) (T, bool) { return T(text), text != "" },
+		Accepted: "text",
+	}
+}
+
+// Name accepts letters, digits, dots, dashes and underscores.
+func Name[T ~string]() Kind[T] {
+	return Kind[T]{
+		Parse:    func(text string) (T, bool) { return T(text), IsName(text) },
+		Accepted: "letters, digits, dots, dashes and underscores",
+	}
+}
+
+// IsName reports whether text is a name of at most 64 letters, digits, dots,
+// dashes and underscores.
+func IsName(text string) bool {
+	const longest = 64
+	if text == "" || len(text) > longest {
+		return false
+	}
+	for _, r := range text {
+		letter := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9'
+		if !letter && !strings.ContainsRune("._-", r) {
+			return false
+		}
+	}
+	return true
+}
+
+// Whole accepts whole numbers from low to high.
+func Whole[T ~int | ~uint64 | ~int64](low, high T) Kind[T] {
+	return Kind[T]{
+		Parse: func(text string) (T, bool) {
+			n, err := strconv.ParseInt(text, 10, 64)
+			return T(n), err == nil && n >= int64(low) && n <= int64(high)
+		},
+		Accepted: fmt.Sprintf("a whole number from %d to %d", low, high),
+	}
+}
+
+// Switch accepts true and false.
+func Switch() Kind[bool] {
+	return Kind[bool]{
+		Parse:    func(text string) (bool, bool) { return text == "true", text == "true" || text == "false" },
+		Accepted: "true or false",
+	}
+}
+
+// Duration accepts durations with a unit from low to high, such as 250ms.
+func Duration(low, high time.Duration) Kind[time.Duration] {
+	return Kind[time.Duration]{
+		Parse: func(text string) (time.Duration, bool) {
+			d, err := time.ParseDuration(text)
+			return d, err == nil && d >= low && d <= high && text != "0"
+		},
+		Accepted: fmt.Sprintf("a duration with its unit from %s to %s, such as 250ms", low, high),
+	}
+}
+
+// Size accepts numbers of bytes with a unit (B, KiB or MiB) from low to high.
+func Size(low, high zinniayoke.Bytes) Kind[zinniayoke.Bytes] {
+	units := []unit{{"KiB", float64(zinniayoke.KiB)}, {"MiB", float64(zinniayoke.MiB)}, {"B", 1}}
+	return Kind[zinniayoke.Bytes]{
+		Parse: func(text string) (zinniayoke.Bytes, bool) {
+			n, ok := parseUnit(text, units)
+			size := zinniayoke.Bytes(n)
+			return size, ok && size >= low && size <= high
+		},
+		Accepted: fmt.Sprintf("a size with its unit from %dB to %dB, such as 64KiB", low, high),
+	}
+}
+
+// BitRate accepts bits a second with a unit (kbit, Mbit or Gbit) and returns
+// bytes a second.
+func BitRate() Kind[zinniayoke.Bytes] {
+	const bitsOfByte = 8
+	units := []unit{{"kbit", 1e3}, {"Mbit", 1e6}, {"Gbit", 1e9}}
+	return Kind[zinniayoke.Bytes]{
+		Parse: func(text string) (zinniayoke.Bytes, bool) {
+			n, ok := parseUnit(text, units)
+			return zinniayoke.Bytes(n / bitsOfByte), ok && n > 0
+		},
+		Accepted: "bits a second with their unit, such as 30Mbit",
+	}
+}
+
+// CallRate accepts calls a second, such as 50/s.
+func CallRate() Kind[float64] {
+	return Kind[float64]{
+		Parse: func(text string) (float64, bool) {
+			n, ok := parseUnit(text, []unit{{"/s", 1}})
+			return n, ok && n > 0
+		},
+		Accepted: "calls a second, such as 50/s",
+	}
+}
+
+// Percent accepts 0% to 100% and returns a share from 0 to 1.
+func Percent() Kind[float64] {
+	const whole = 100
+	return Kind[float64]{
+		Parse: func(text string) (float64, bool) {
+			n, ok := parseUnit(text, []unit{{"%", 1}})
+			return n / whole, ok && n <= whole
+		},
+		Accepted: "a share from 0% to 100%",
+	}
+}
+
+// OneOf accepts the listed words.
+func OneOf(words ...string) Kind[string] {
+	return Kind[string]{
+		Parse:    func(text string) (string, bool) { return text, slices.Contains(words, text) },
+		Accepted: "one of " + strings.Join(words, ", "),
+	}
+}
+
+// Hex accepts length bytes written as hexadecimal digits.
+func Hex(length int) Kind[[]byte] {
+	return Kind[[]byte]{
+		Parse: func(text string) ([]byte, bool) {
+			b, err := hex.DecodeString(text)
+			return b, err == nil && len(b) == length
+		},
+		Accepted: fmt.Sprintf("%d bytes as hexadecimal digits", length),
+	}
+}
+
+// List accepts values separated by commas.
+func List[T any](kind Kind[T]) Kind[[]T] {
+	return Kind[[]T]{
+		Parse: func(text string) ([]T, bool) {
+			var list []T
+			for _, part := range strings.Split(text, ",") {
+				value, ok := kind.Parse(strings.TrimSpace(part))
+				if !ok {
+					return nil, false
+				}
+				list = append(list, value)
+			}
+			return list, true
+		},
+		Accepted: "a list, separated by commas, of: " + kind.Accepted,
+	}
+}
+
+type unit struct {
+	suffix string
+	factor float64
+}
+
+func parseUnit(text string, units []unit) (float64, bool) {
+	for _, u := range units {
+		digits, ok := strings.CutSuffix(text, u.suffix)
+		if !ok {
+			continue
+		}
+		n, err := strconv.ParseFloat(digits, 64)
+		if err != nil || math.IsNaN(n) || n < 0 || n > math.MaxInt32 {
+			return 0, false
+		}
+		return n * u.factor, true
+	}
+	return 0, false
+}
--- /dev/null
+++ b/core/zyparent/table.go
@@ -0,0 +1,120 @@
+// Package zyparent keeps the running calls of a node's worker, so that child
+// calls find the request that they are a part of. The handle that the worker
+// is given means nothing elsewhere and cannot be forged.
+package zyparent
+
+import (
+	"crypto/rand"
+	"encoding/base64"
+	"sync"
+	"time"
+
+	"zinniayoke"
+	"zinniayoke/core/zyattempt"
+)
+
+// Parent is a running call whose worker may make child calls.
+type Parent struct {
+	Request  zinniayoke.RequestID
+	Caller   zinniayoke.Caller
+	Key      zinniayoke.Key
+	Rank     zinniayoke.Rank
+	Deadline time.Time
+	Depth    int
+	Version  zinniayoke.Version
+	Pool     *zyattempt.Pool
+	Done     <-chan struct{}
+
+	mu        sync.Mutex
+	children  int
+	since     time.Time
+	waited    time.Duration
+	threshold zinniayoke.Rank
+	ordinals  map[uint64]int
+}
+
+// Table holds the parents by handle. It may be used by several goroutines. The
+// zero value is ready for use.
+type Table struct {
+	mu      sync.Mutex
+	parents map[string]*Parent
+}
+
+const handleSize = 16
+
+// Open adds a parent and returns its handle.
+func (t *Table) Open(p *Parent) string {
+	raw := make([]byte, handleSize)
+	_, _ = rand.Read(raw) // It never fails: the runtime ends the program instead.
+	handle := base64.RawURLEncoding.EncodeToString(raw)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.parents == nil {
+		t.parents = make(map[string]*Parent)
+	}
+	t.parents[handle] = p
+	return handle
+}
+
+// Find returns the parent of a handle. It returns false where the parent's call
+// has ended or never was.
+func (t *Table) Find(handle string) (*Parent, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, ok := t.parents[handle]
+	return p, ok
+}
+
+// Close removes a parent.
+func (t *Table) Close(handle string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.parents, handle)
+}
+
+// StartChild notes that a child call begins.
+func (p *Parent) StartChild(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.children == 0 {
+		p.since = now
+	}
+	p.children++
+}
+
+// EndChild notes that a child call has ended, and the threshold of its route.
+func (p *Parent) EndChild(now time.Time, threshold zinniayoke.Rank) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.children--
+	if p.children == 0 {
+		p.waited += now.Sub(p.since)
+	}
+	p.threshold = max(p.threshold, threshold)
+}
+
+// Waited returns for how long at least one child call was under way.
+func (p *Parent) Waited() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.waited
+}
+
+// Threshold returns the highest threshold among the routes of the children.
+func (p *Parent) Threshold() zinniayoke.Rank {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.threshold
+}
+
+// Ordinal counts equal child calls, so that two equal ones that are both meant
+// have different keys, and those of a repeated parent the same ones.
+func (p *Parent) Ordinal(content uint64) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ordinals == nil {
+		p.ordinals = make(map[uint64]int)
+	}
+	p.ordinals[content]++
+	return p.ordinals[content]
+}
--- /dev/null
+++ b/core/zysettings/settings.go
@@ -0,0 +1,127 @@
+// Package zysettings reads and checks the settings of one node.
+package zysettings
+
+import (
+	"crypto/ed25519"
+	"net"
+	"strings"
+	"time"
+
+	"zinniayoke"
+	"zinniayoke/core/zyini"
+)
+
+// Settings is what a node is told when it starts.
+type Settings struct {
+	Host     string
+	Place    zinniayoke.Place
+	Listen   Listen
+	Seeds    []string
+	PeerKey  []byte
+	Log      string
+	Logging  Logging
+	Genesis  Genesis
+	Shutdown Shutdown
+}
+
+// Listen holds the addresses of the node's ports, each an IP number and a port.
+type Listen struct {
+	Caller   string
+	Upstream string
+	// Peer is used for TCP between nodes and for UDP membership packets.
+	Peer  string
+	Admin string
+}
+
+// Logging says what is logged and how.
+type Logging struct {
+	Level  string
+	Format string
+}
+
+// Genesis names the approvers who count before any bundle is in force.
+type Genesis struct {
+	Approvals int
+	Approvers map[string]ed25519.PublicKey
+}
+
+// Shutdown bounds the graceful stop.
+type Shutdown struct {
+	// Grace is how long calls in flight may take to finish.
+	Grace time.Duration
+}
+
+const (
+	peerKeySize  = 32
+	longestGrace = 10 * time.Minute
+	usualGrace   = 15 * time.Second
+	mostNeeded   = 16
+)
+
+// Parse reads settings and checks them whole. The error is a
+// *zyini.ProblemsError that holds every problem.
+func Parse(name string, text []byte) (*Settings, error) {
+	file := zyini.Parse(name, text)
+	s := &Settings{
+		Logging:  Logging{Level: "info", Format: "text"},
+		Genesis:  Genesis{Approvals: 1, Approvers: make(map[string]ed25519.PublicKey)},
+		Shutdown: Shutdown{Grace: usualGrace},
+	}
+	needed := map[string]bool{"node": false, "listen": false, "peers": false, "log": false}
+	for _, section := range file.Sections() {
+		needed[section.Header] = true
+		s.readSection(section)
+		section.Close()
+	}
+	for _, header := range []string{"node", "listen", "peers", "log"} {
+		if file.Err() == nil && !needed[header] {
+			file.Reject(header, "no such section", "["+header+"]")
+		}
+	}
+	if err := file.Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Settings) readSection(section *zyini.Section) {
+	switch section.Kind {
+	case "node":
+		s.Host = zyini.Need(section, "host", zyini.Name[string]())
+		s.Place.Domain = zyini.Need(section, "domain", zyini.Name[zinniayoke.Domain]())
+		s.Place.Region = zyini.Need(section, "region", zyini.Name[zinniayoke.Region]())
+	case "listen":
+		s.Listen.Caller = zyini.Need(section, "caller", address())
+		s.Listen.Upstream = zyini.Need(section, "upstream", address())
+		s.Listen.Peer = zyini.Need(section, "peer", address())
+		s.Listen.Admin = zyini.Need(section, "admin", address())
+	case "peers":
+		s.Seeds = zyini.Get(section, "seeds", zyini.List(address()), nil)
+		s.PeerKey = zyini.Need(section, "key", zyini.Hex(peerKeySize))
+	case "log":
+		s.Log = zyini.Need(section, "address", address())
+	case "logging":
+		s.Logging.Level = zyini.Get(section, "level", zyini.OneOf("debug", "info", "warn", "error"), "info")
+		s.Logging.Format = zyini.Get(section, "format", zyini.OneOf("text", "json"), "text")
+	case "approvals":
+		s.Genesis.Approvals = zyini.Get(section, "needed", zyini.Whole(1, mostNeeded), 1)
+	case "approver":
+		s.Genesis.Approvers[section.Name] = zyini.Need(section, "publicKey", zyini.Hex(ed25519.PublicKeySize))
+	case "shutdown":
+		s.Shutdown.Grace = zyini.Get(section, "grace", zyini.Duration(0, longestGrace), usualGrace)
+	default:
+		section.RejectSection("an unknown section", "node, listen, peers, log, logging, approvals, approver, shutdown")
+	}
+}
+
+// address accepts an IP number with a port, such as 127.0.0.1:7001.
+func address() zyini.Kind[string] {
+	return zyini.Kind[string]{
+		Parse: func(text string) (string, bool) {
+			host, port, err := net.SplitHostPort(text)
+			ok := err == nil && net.ParseIP(host) != nil && port != "" && strings.Trim(port, "0123456789") == ""
+			return text, ok
+		},
+		Accepted: "an IP number and a port, such as 127.0.0.1:7001",
+	}
+}
--- /dev/null
+++ b/io/zydemo/demo.go
@@ -0,0 +1,411 @@
+package zydemo
+
+import (
+	"context"
+	"crypto/ed25519"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sort"
+	"time"
+
+	"go.uber.org/fx"
+
+	"zinniayoke"
+	"zinniayoke/core/zyagreement"
+	"zinniayoke/core/zysettings"
+	"zinniayoke/examples"
+	"zinniayoke/io/zyload"
+	"zinniayoke/io/zylog"
+	"zinniayoke/io/zynode"
+	"zinniayoke/io/zyoperator"
+	"zinniayoke/io/zystandin"
+)
+
+// Config configures a demo.
+type Config struct {
+	Deployment string
+	// Duration is the time of the three phases together.
+	Duration time.Duration
+	// Progress receives what happens; nil discards it.
+	Progress io.Writer
+	// Logs receives the logs of the nodes.
+	Logs io.Writer
+}
+
+// Report is what a demo has come to.
+type Report struct {
+	Deployment string          `json:"deployment"`
+	Classes    []zyload.Result `json:"classes"`
+	// Doubled counts bookings that some worker ran more than once.
+	Doubled int `json:"doubledBookings"`
+	// FalseNotRun counts bookings that ran although their caller was told notRun.
+	FalseNotRun int `json:"falseNotRun"`
+	// LostDone counts bookings whose caller was told done and that never ran.
+	LostDone int `json:"lostDone"`
+	// WrongAnswers counts answers that reached the wrong caller.
+	WrongAnswers int `json:"wrongAnswers"`
+	MostAttempts int `json:"mostAttempts"`
+	// AllowedAttempts is the largest number that the bundle allows.
+	AllowedAttempts int     `json:"allowedAttempts"`
+	RecoverySeconds float64 `json:"recoverySeconds"`
+	Recovered       bool    `json:"recovered"`
+	// ReadySeconds is the time from the start of the first node to the bundle in
+	// force on all.
+	ReadySeconds float64 `json:"readySeconds"`
+}
+
+// Broken returns the promises that were broken.
+func (r *Report) Broken() []string {
+	var broken []string
+	if r.Doubled > 0 {
+		broken = append(broken, fmt.Sprintf("%d bookings ran more than once", r.Doubled))
+	}
+	if r.FalseNotRun > 0 {
+		broken = append(broken, fmt.Sprintf("%d bookings ran although notRun was said", r.FalseNotRun))
+	}
+	if r.LostDone > 0 {
+		broken = append(broken, fmt.Sprintf("%d bookings never ran although done was said", r.LostDone))
+	}
+	if r.WrongAnswers > 0 {
+		broken = append(broken, fmt.Sprintf("%d answers reached the wrong caller", r.WrongAnswers))
+	}
+	if r.MostAttempts > r.AllowedAttempts {
+		broken = append(broken, fmt.Sprintf("%d attempts of one request; %d are allowed", r.MostAttempts, r.AllowedAttempts))
+	}
+	return broken
+}
+
+// UnknownDeploymentError says that no deployment has this name.
+type UnknownDeploymentError struct {
+	Name string
+}
+
+// Error returns the name and what is accepted.
+func (e *UnknownDeploymentError) Error() string {
+	return fmt.Sprintf("deployment %q: accepted: hollander, tabighi", e.Name)
+}
+
+// demo is one run.
+type demo struct {
+	cfg        Config
+	deployment Deployment
+	log        *zystandin.Log
+	logAddress string
+	apps       []*fx.App
+	nodes      []*zynode.Node
+	workers    []*zystandin.Worker
+	servers    []*http.Server
+	cancel     context.CancelFunc
+}
+
+const (
+	startTimeout = 30 * time.Second
+	calmShare    = 0.99
+	phases       = 3
+	callTimeout  = 5 * time.Second
+	mostOpen     = 2000
+)
+
+// Run runs a demo. The error is an *UnknownDeploymentError or that of a part
+// that could not start.
+func Run(ctx context.Context, cfg Config) (*Report, error) {
+	deployment, ok := Deployments()[cfg.Deployment]
+	if !ok {
+		return nil, &UnknownDeploymentError{Name: cfg.Deployment}
+	}
+	if cfg.Progress == nil {
+		cfg.Progress = io.Discard
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	d := &demo{cfg: cfg, deployment: deployment, log: &zystandin.Log{}, cancel: cancel}
+	defer d.stop()
+	start := time.Now()
+	if err := d.start(ctx); err != nil {
+		return nil, err
+	}
+	if err := d.rollOut(ctx); err != nil {
+		return nil, err
+	}
+	if err := d.awaitReady(ctx); err != nil {
+		return nil, err
+	}
+	ready := time.Since(start)
+	d.say("%d nodes are ready after %.1fs.", len(d.nodes), ready.Seconds())
+	report := d.load(ctx)
+	report.ReadySeconds = ready.Seconds()
+	return report, nil
+}
+
+func (d *demo) say(format string, args ...any) {
+	_, _ = fmt.Fprintf(d.cfg.Progress, format+"\n", args...)
+}
+
+// start brings the log, the nodes and the workers up.
+func (d *demo) start(ctx context.Context) error {
+	address, err := d.serve(d.log.Handler())
+	if err != nil {
+		return err
+	}
+	d.logAddress = address
+	for _, place := range d.deployment.Domains {
+		for _, s := range d.deployment.Services {
+			if err := d.startHost(ctx, place, s); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (d *demo) serve(h http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("stand-in: %w", err)
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: callTimeout}
+	d.servers = append(d.servers, server)
+	go func() { _ = server.Serve(listener) }()
+	return listener.Addr().String(), nil
+}
+
+// startHost brings one node and its worker up.
+func (d *demo) startHost(ctx context.Context, place zinniayoke.Place, s Service) error {
+	var node *zynode.Node
+	app := zynode.App(zynode.Config{Settings: d.settings(place, s), Output: d.cfg.Logs}, fx.Populate(&node))
+	if err := app.Start(ctx); err != nil {
+		return fmt.Errorf("node: %w", err)
+	}
+	d.apps = append(d.apps, app)
+	d.nodes = append(d.nodes, node)
+	ports := node.Addresses()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return fmt.Errorf("worker: %w", err)
+	}
+	worker := zystandin.NewWorker(zystandin.WorkerConfig{
+		Service: s.Name, Slots: s.Slots, Connections: s.Connections, Actions: s.Actions,
+		NodeCaller: ports.Caller, NodeUpstream: ports.Upstream, Address: listener.Addr().String(),
+	})
+	server := &http.Server{Handler: worker, ReadHeaderTimeout: callTimeout}
+	d.servers = append(d.servers, server)
+	d.workers = append(d.workers, worker)
+	go func() { _ = server.Serve(listener) }()
+	go worker.KeepAnnouncing(ctx)
+	return nil
+}
+
+// settings returns the settings of one node, with ports that the system picks.
+func (d *demo) settings(place zinniayoke.Place, s Service) *zysettings.Settings {
+	const anyPort = "127.0.0.1:0"
+	var seeds []string
+	if len(d.nodes) > 0 {
+		seeds = append(seeds, d.nodes[0].Addresses().Peer)
+	}
+	key := sha256.Sum256([]byte("demo peers"))
+	return &zysettings.Settings{
+		Host:   string(place.Domain) + "-" + string(s.Name),
+		Place:  place,
+		Listen: zysettings.Listen{Caller: anyPort, Upstream: anyPort, Peer: anyPort, Admin: anyPort},
+		Seeds:  seeds, PeerKey: key[:], Log: d.logAddress,
+		Logging:  zysettings.Logging{Level: "warn", Format: "text"},
+		Genesis:  zysettings.Genesis{Approvals: 1, Approvers: genesis().Approvers},
+		Shutdown: zysettings.Shutdown{Grace: callTimeout},
+	}
+}
+
+// OperatorKey returns the key of one of the demo's operators.
+func OperatorKey(name string) ed25519.PrivateKey {
+	seed := sha256.Sum256([]byte("zinniayoke demo " + name))
+	return ed25519.NewKeyFromSeed(seed[:])
+}
+
+const (
+	proposer = "alice"
+	approver = "bob"
+)
+
+func genesis() zyagreement.Authority {
+	approvers := make(map[string]ed25519.PublicKey)
+	for _, name := range []string{proposer, approver} {
+		approvers[name], _ = OperatorKey(name).Public().(ed25519.PublicKey)
+	}
+	return zyagreement.Authority{Approvals: 1, Approvers: approvers}
+}
+
+// rollOut has the bundle proposed by one operator, signed off by another and
+// rolled out.
+func (d *demo) rollOut(ctx context.Context) error {
+	text, err := examples.Files.ReadFile(d.deployment.Bundle)
+	if err != nil {
+		return fmt.Errorf("bundle: %w", err)
+	}
+	log := zylog.NewClient(zylog.ClientConfig{Address: d.logAddress})
+	operator := func(name string) *zyoperator.Operator {
+		return zyoperator.New(zyoperator.Config{Log: log, Genesis: genesis(), Name: name, Key: OperatorKey(name)})
+	}
+	hash, err := operator(proposer).Propose(ctx, d.deployment.Bundle, text)
+	if err != nil {
+		return fmt.Errorf("proposal: %w", err)
+	}
+	d.say("%s proposed bundle %.12s.", proposer, hash)
+	if err := operator(approver).Sign(ctx, hash); err != nil {
+		return fmt.Errorf("sign-off: %w", err)
+	}
+	d.say("%s signed it off.", approver)
+	version, err := operator(proposer).Roll(ctx, hash)
+	if err != nil {
+		return fmt.Errorf("roll-out: %w", err)
+	}
+	d.say("Version %d is rolled out.", version)
+	return nil
+}
+
+// ErrNotReady says that the nodes did not get ready in time.
+var ErrNotReady = errors.New("the nodes did not get ready in time")
+
+// awaitReady waits until each node has the bundle, all members and its worker.
+func (d *demo) awaitReady(ctx context.Context) error {
+	deadline := time.Now().Add(startTimeout)
+	for time.Now().Before(deadline) && ctx.Err() == nil {
+		if d.allReady() {
+			return nil
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return ErrNotReady
+}
+
+func (d *demo) allReady() bool {
+	for _, n := range d.nodes {
+		if n.Ready() != nil || n.Serving() < len(d.nodes) {
+			return false
+		}
+	}
+	return true
+}
+
+// load runs the three phases.
+func (d *demo) load(ctx context.Context) *Report {
+	var entries []string
+	for _, n := range d.nodes {
+		entries = append(entries, n.Addresses().Caller)
+	}
+	g := zyload.New(zyload.Config{Entries: entries, Timeout: callTimeout, MostOpen: mostOpen})
+	phase := d.cfg.Duration / phases
+	steady, stopSteady := context.WithTimeout(ctx, d.cfg.Duration)
+	defer stopSteady()
+	done := make(chan struct{})
+	go func() {
+		g.Run(steady, d.deployment.Steady)
+		close(done)
+	}()
+	d.say("Steady load.")
+	wait(steady, phase)
+	d.say("Surge: five times the load, and failed calls are sent again up to %d times at once.", surgeResends)
+	surge, stopSurge := context.WithTimeout(steady, phase)
+	defer stopSurge()
+	g.Run(surge, d.deployment.Surge)
+	passed := g.Since()
+	d.say("Steady load again.")
+	<-done
+	return d.report(g, passed)
+}
+
+func wait(ctx context.Context, t time.Duration) {
+	select {
+	case <-time.After(t):
+	case <-ctx.Done():
+	}
+}
+
+func (d *demo) report(g *zyload.Generator, passed int) *Report {
+	r := &Report{Deployment: d.cfg.Deployment, AllowedAttempts: d.allowedAttempts()}
+	results := g.Results()
+	for _, class := range d.deployment.Classes {
+		r.Classes = append(r.Classes, results[class])
+		r.WrongAnswers += results[class].Wrong
+		r.MostAttempts = max(r.MostAttempts, results[class].MostAttempts)
+	}
+	recovery, ok := g.Recovery(passed, calmShare)
+	r.RecoverySeconds, r.Recovered = recovery.Seconds(), ok
+	d.audit(r, g.Bookings())
+	return r
+}
+
+// audit compares what callers were told with what the workers ran.
+func (d *demo) audit(r *Report, told map[string]string) {
+	runs := make(map[string]int)
+	for _, w := range d.workers {
+		for id, n := range w.Runs() {
+			runs[id] += n
+		}
+	}
+	for id, n := range runs {
+		if n > 1 {
+			r.Doubled++
+		}
+		if told[id] == zinniayoke.OutcomeNotRun.String() {
+			r.FalseNotRun++
+		}
+	}
+	for id, outcome := range told {
+		if outcome == zinniayoke.OutcomeDone.String() && runs[id] == 0 {
+			r.LostDone++
+		}
+	}
+}
+
+func (d *demo) allowedAttempts() int {
+	most := 0
+	for _, route := range d.nodes[0].Rules().Routes {
+		most = max(most, int(route.Attempts))
+	}
+	return most
+}
+
+// stop ends the nodes gracefully, the last one first.
+func (d *demo) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	done := make(chan struct{}, len(d.apps))
+	for _, app := range d.apps {
+		go func() {
+			_ = app.Stop(ctx)
+			done <- struct{}{}
+		}()
+	}
+	for range d.apps {
+		<-done
+	}
+	d.cancel()
+	for _, s := range d.servers {
+		_ = s.Close()
+	}
+}
+
+// Print writes the report as a table.
+func (r *Report) Print(w io.Writer) {
+	_, _ = fmt.Fprintf(w, "\n%-14s %7s %7s %7s %7s %7s %9s %9s %9s\n",
+		"class", "calls", "whole", "notRun", "unknown", "sends", "p50 ms", "p99 ms", "attempts")
+	for _, c := range r.Classes {
+		_, _ = fmt.Fprintf(w, "%-14s %7d %7d %7d %7d %7d %9.1f %9.1f %9d\n",
+			c.Class, c.Sent, c.Whole, c.NotRun, c.Unknown, c.Sends, c.P50, c.P99, c.MostAttempts)
+	}
+	_, _ = fmt.Fprintf(w, "\nbookings that ran twice: %d\nanswers to the wrong caller: %d\n", r.Doubled, r.WrongAnswers)
+	_, _ = fmt.Fprintf(w, "said notRun but ran: %d\nsaid done but never ran: %d\n", r.FalseNotRun, r.LostDone)
+	_, _ = fmt.Fprintf(w, "most attempts of one call, its re-sends included: %d (allowed %d)\n", r.MostAttempts, r.AllowedAttempts)
+	if r.Recovered {
+		_, _ = fmt.Fprintf(w, "recovery after the surge: %.1f s\n", r.RecoverySeconds)
+	} else {
+		_, _ = fmt.Fprintln(w, "recovery after the surge: not within the demo")
+	}
+	broken := r.Broken()
+	sort.Strings(broken)
+	for _, b := range broken {
+		_, _ = fmt.Fprintln(w, "BROKEN:", b)
+	}
+}
--- /dev/null
+++ b/io/zyload/load.go
@@ -0,0 +1,335 @@
+// Package zyload sends calls as many callers would and checks what comes back.
+package zyload
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/google/uuid"
+
+	"zinniayoke/io/zystandin"
+	"zinniayoke/io/zyweb"
+)
+
+// Flow is a stream of equal calls.
+type Flow struct {
+	Class   string
+	Caller  string
+	Token   string
+	Method  string
+	Service string
+	Path    string
+	// Rate is calls a second.
+	Rate float64
+	// Keyed gives each call an idempotency key, the same for its re-sends.
+	Keyed bool
+	// Resends is how often the caller sends a call again that has failed.
+	Resends int
+}
+
+// Config configures a Generator.
+type Config struct {
+	// Entries are the addresses of caller ports.
+	Entries []string
+	Timeout time.Duration
+	// MostOpen bounds the calls under way.
+	MostOpen int
+}
+
+const (
+	second          = 10
+	shortestLatency = 1
+	longestLatency  = 60_000_000
+	digits          = 3
+)
+
+// Generator sends flows and keeps the results by class. It may be used by
+// several goroutines. A Generator must be made with New.
+type Generator struct {
+	cfg    Config
+	client *http.Client
+	open   chan struct{}
+	start  time.Time
+
+	mu      sync.Mutex
+	classes map[string]*tally
+	booked  map[string]string
+}
+
+// tally sums up the calls of one class.
+type tally struct {
+	result  Result
+	latency *hdrhistogram.Histogram
+	slots   []Slot
+}
+
+// Slot counts the calls that began within one tenth of a second.
+type Slot struct {
+	Sent int
+	Done int
+}
+
+// Result sums up one class.
+type Result struct {
+	Class string `json:"class"`
+	// Sent counts calls; re-sends of a call are not calls of their own.
+	Sent  int `json:"sent"`
+	Whole int `json:"whole"`
+	// Sends counts all sends, the re-sends included.
+	Sends        int     `json:"sends"`
+	NotRun       int     `json:"notRun"`
+	Unknown      int     `json:"unknown"`
+	Wrong        int     `json:"wrong"`
+	MostAttempts int     `json:"mostAttempts"`
+	P50          float64 `json:"p50Ms"`
+	P99          float64 `json:"p99Ms"`
+}
+
+// New returns a generator.
+func New(cfg Config) *Generator {
+	return &Generator{
+		cfg: cfg, open: make(chan struct{}, cfg.MostOpen), start: time.Now(),
+		client:  &http.Client{Timeout: cfg.Timeout, Transport: &http.Transport{MaxIdleConnsPerHost: cfg.MostOpen}},
+		classes: make(map[string]*tally), booked: make(map[string]string),
+	}
+}
+
+// Run sends the flows until ctx is done and waits for the calls under way.
+func (g *Generator) Run(ctx context.Context, flows []Flow) {
+	var active sync.WaitGroup
+	for _, f := range flows {
+		active.Add(1)
+		go func() {
+			defer active.Done()
+			g.runFlow(ctx, f, &active)
+		}()
+	}
+	active.Wait()
+}
+
+// runFlow starts calls at random times with the mean rate, whether or not
+// earlier ones have ended.
+func (g *Generator) runFlow(ctx context.Context, f Flow, active *sync.WaitGroup) {
+	next := time.Now()
+	for {
+		next = next.Add(time.Duration(rand.ExpFloat64() / f.Rate * float64(time.Second)))
+		timer := time.NewTimer(time.Until(next))
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		}
+		select {
+		case g.open <- struct{}{}:
+		default:
+			continue
+		}
+		active.Add(1)
+		go func() {
+			defer active.Done()
+			defer func() { <-g.open }()
+			g.call(f)
+		}()
+	}
+}
+
+// outcome is how one send ended.
+type outcome struct {
+	whole    bool
+	wrong    bool
+	text     string
+	attempts int
+}
+
+// call sends one call and, where it fails, its re-sends.
+func (g *Generator) call(f Flow) {
+	id := uuid.NewString()
+	start := time.Now()
+	sends, attempts := 0, 0
+	var last outcome
+	for range 1 + f.Resends {
+		sends++
+		last = g.send(f, id)
+		attempts += last.attempts
+		if last.whole || last.wrong {
+			break
+		}
+	}
+	last.attempts = attempts
+	g.note(f, id, start, sends, last)
+}
+
+func (g *Generator) send(f Flow, id string) outcome {
+	req, err := g.request(f, id)
+	if err != nil {
+		return outcome{text: "unknown"}
+	}
+	resp, err := g.client.Do(req)
+	if err != nil {
+		return outcome{text: "unknown"}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return outcome{text: "unknown"}
+	}
+	o := outcome{text: resp.Header.Get(zyweb.OutcomeHeader)}
+	o.attempts, _ = strconv.Atoi(resp.Header.Get(zyweb.AttemptsHeader))
+	if resp.StatusCode != http.StatusOK {
+		return o
+	}
+	var item zystandin.Item
+	o.wrong = json.Unmarshal(raw, &item) != nil || item.ID != id || item.Caller != f.Caller
+	o.whole = !o.wrong
+	return o
+}
+
+func (g *Generator) request(f Flow, id string) (*http.Request, error) {
+	entry := g.cfg.Entries[rand.IntN(len(g.cfg.Entries))]
+	target := "http://" + entry + "/call/" + f.Service + f.Path
+	var body []byte
+	if f.Method == http.MethodGet {
+		target += "?id=" + id + "&caller=" + f.Caller
+	} else {
+		encoded, err := json.Marshal(zystandin.Item{ID: id, Caller: f.Caller})
+		if err != nil {
+			return nil, fmt.Errorf("call: %w", err)
+		}
+		body = encoded
+	}
+	req, err := http.NewRequest(f.Method, target, bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("call: %w", err)
+	}
+	if f.Token != "" {
+		req.Header.Set("Authorization", "Bearer "+f.Token)
+	} else {
+		req.Header.Set(zyweb.CallerHeader, f.Caller)
+	}
+	if f.Keyed {
+		req.Header.Set(zyweb.KeyHeader, id)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	return req, nil
+}
+
+func (g *Generator) note(f Flow, id string, start time.Time, sends int, o outcome) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	t, ok := g.classes[f.Class]
+	if !ok {
+		t = &tally{latency: hdrhistogram.New(shortestLatency, longestLatency, digits)}
+		t.result.Class = f.Class
+		g.classes[f.Class] = t
+	}
+	r := &t.result
+	r.Sent++
+	r.Sends += sends
+	r.MostAttempts = max(r.MostAttempts, o.attempts)
+	slot := int(start.Sub(g.start).Seconds() * second)
+	for len(t.slots) <= slot {
+		t.slots = append(t.slots, Slot{})
+	}
+	t.slots[slot].Sent++
+	if f.Keyed {
+		g.booked[id] = o.text
+	}
+	switch {
+	case o.wrong:
+		r.Wrong++
+	case o.whole:
+		r.Whole++
+		t.slots[slot].Done++
+		_ = t.latency.RecordValue(time.Since(start).Microseconds())
+	case o.text == "notRun":
+		r.NotRun++
+	default:
+		r.Unknown++
+	}
+}
+
+// Results returns what each class has come to.
+func (g *Generator) Results() map[string]Result {
+	const perMillisecond, median, tail = 1000, 50, 99
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	results := make(map[string]Result, len(g.classes))
+	for class, t := range g.classes {
+		r := t.result
+		r.P50 = float64(t.latency.ValueAtQuantile(median)) / perMillisecond
+		r.P99 = float64(t.latency.ValueAtQuantile(tail)) / perMillisecond
+		results[class] = r
+	}
+	return results
+}
+
+// Bookings returns the last outcome of each call with a key.
+func (g *Generator) Bookings() map[string]string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	booked := make(map[string]string, len(g.booked))
+	for id, text := range g.booked {
+		booked[id] = text
+	}
+	return booked
+}
+
+// Since returns the tenths of a second since the generator was made.
+func (g *Generator) Since() int {
+	return int(time.Since(g.start).Seconds() * second)
+}
+
+// Recovery returns how long after the given slot the share of whole answers
+// came back to the given share for half a second. It returns false where it did
+// not.
+func (g *Generator) Recovery(from int, share float64) (time.Duration, bool) {
+	const lasting = 5
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	good := 0
+	for slot := from; slot < g.longest(); slot++ {
+		sent, done := g.sum(slot)
+		if sent > 0 && float64(done) < share*float64(sent) {
+			good = 0
+			continue
+		}
+		good++
+		if good == lasting {
+			return time.Duration(slot-lasting+1-from) * time.Second / second, true
+		}
+	}
+	return 0, false
+}
+
+func (g *Generator) longest() int {
+	longest := 0
+	for _, t := range g.classes {
+		longest = max(longest, len(t.slots))
+	}
+	return longest
+}
+
+func (g *Generator) sum(slot int) (sent, done int) {
+	for _, t := range g.classes {
+		if slot < len(t.slots) {
+			sent += t.slots[slot].Sent
+			done += t.slots[slot].Done
+		}
+	}
+	return sent, done
+}
+
+// Open returns how many calls are under way.
+func (g *Generator) Open() int {
+	return len(g.open)
+}
--- /dev/null
+++ b/io/zymetric/meter.go
@@ -0,0 +1,166 @@
+// Package zymetric exports what a node measures to Prometheus.
+package zymetric
+
+import (
+	"sync/atomic"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"zinniayoke"
+	"zinniayoke/core/zybundle"
+)
+
+// Config configures a Meter.
+type Config struct {
+	Registry *prometheus.Registry
+	// Rules bounds the labels: names that the bundle does not hold count as other.
+	Rules func() *zybundle.Bundle
+}
+
+const other = "other"
+
+// Meter is a zinniayoke.Meter. A Meter must be made with New.
+type Meter struct {
+	cfg        Config
+	byClass    *prometheus.HistogramVec
+	byCaller   *prometheus.HistogramVec
+	outcomes   *prometheus.CounterVec
+	refusals   *prometheus.CounterVec
+	sent       *prometheus.CounterVec
+	mismatches prometheus.Counter
+	waited     *prometheus.HistogramVec
+	ran        *prometheus.HistogramVec
+	limit      prometheus.Gauge
+	running    prometheus.Gauge
+
+	sentTotal   atomic.Int64
+	mismatched  atomic.Int64
+	shedTotal   atomic.Int64
+	callsTotal  atomic.Int64
+	failedTotal atomic.Int64
+}
+
+// Totals sums up what a node has done.
+type Totals struct {
+	Calls      int64 `json:"calls"`
+	Attempts   int64 `json:"attempts"`
+	Shed       int64 `json:"shed"`
+	Failed     int64 `json:"failed"`
+	Mismatched int64 `json:"mismatched"`
+}
+
+func buckets() []float64 {
+	const first, factor, count = 0.0005, 2, 16
+	return prometheus.ExponentialBuckets(first, factor, count)
+}
+
+// New registers the metrics of a node.
+func New(cfg Config) *Meter {
+	m := &Meter{cfg: cfg}
+	m.byClass = histogram(cfg, "call_seconds_by_class", "Time of calls at their entry.", "class", "outcome")
+	m.byCaller = histogram(cfg, "call_seconds_by_caller", "Time of calls at their entry.", "caller")
+	m.waited = histogram(cfg, "queue_seconds", "Time of attempts in the queue before the worker.", "class")
+	m.ran = histogram(cfg, "worker_seconds", "Time of attempts at the worker, child calls left out.", "class")
+	m.outcomes = counter(cfg, "outcomes_total", "Calls by outcome.", "class", "outcome")
+	m.refusals = counter(cfg, "refusals_total", "Calls without an answer by reason.", "reason")
+	m.sent = counter(cfg, "attempts_total", "Attempts sent by service.", "service")
+	m.mismatches = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: namespace, Name: "answers_dropped_total", Help: "Answers that were crossed, short or late.",
+	})
+	m.limit = gauge("concurrency_limit", "Calls that the worker may run at once.")
+	m.running = gauge("concurrency_running", "Calls that the worker runs.")
+	cfg.Registry.MustRegister(m.mismatches, m.limit, m.running)
+	return m
+}
+
+const namespace = "zinniayoke"
+
+func histogram(cfg Config, name, help string, labels ...string) *prometheus.HistogramVec {
+	h := prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace, Name: name, Help: help, Buckets: buckets(),
+	}, labels)
+	cfg.Registry.MustRegister(h)
+	return h
+}
+
+func counter(cfg Config, name, help string, labels ...string) *prometheus.CounterVec {
+	c := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+	cfg.Registry.MustRegister(c)
+	return c
+}
+
+func gauge(name, help string) prometheus.Gauge {
+	return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
+}
+
+// Call notes the end of a call at its entry.
+func (m *Meter) Call(s zinniayoke.CallSample) {
+	class, seconds := m.class(s.Class), s.Took.Seconds()
+	m.callsTotal.Add(1)
+	m.outcomes.WithLabelValues(class, s.Outcome.String()).Inc()
+	m.byClass.WithLabelValues(class, s.Outcome.String()).Observe(seconds)
+	if !s.Child {
+		m.byCaller.WithLabelValues(m.caller(s.Caller)).Observe(seconds)
+	}
+	if s.Outcome == zinniayoke.OutcomeDone {
+		return
+	}
+	m.failedTotal.Add(1)
+	if s.Reason == zinniayoke.ReasonShed {
+		m.shedTotal.Add(1)
+	}
+	m.refusals.WithLabelValues(s.Reason.String()).Inc()
+}
+
+// Attempt notes the end of an attempt at the worker's node.
+func (m *Meter) Attempt(s zinniayoke.AttemptSample) {
+	class := m.class(s.Class)
+	m.waited.WithLabelValues(class).Observe(s.Waited.Seconds())
+	m.ran.WithLabelValues(class).Observe(s.Ran.Seconds())
+	m.limit.Set(float64(s.Limit))
+	m.running.Set(float64(s.Running))
+}
+
+// Sent notes that an attempt goes out.
+func (m *Meter) Sent(s zinniayoke.Service) {
+	m.sentTotal.Add(1)
+	name := other
+	if rules := m.cfg.Rules(); rules != nil {
+		if _, ok := rules.Services[s]; ok {
+			name = string(s)
+		}
+	}
+	m.sent.WithLabelValues(name).Inc()
+}
+
+// Mismatch notes an answer that was dropped.
+func (m *Meter) Mismatch() {
+	m.mismatched.Add(1)
+	m.mismatches.Inc()
+}
+
+// Totals returns the sums so far.
+func (m *Meter) Totals() Totals {
+	return Totals{
+		Calls: m.callsTotal.Load(), Attempts: m.sentTotal.Load(), Shed: m.shedTotal.Load(),
+		Failed: m.failedTotal.Load(), Mismatched: m.mismatched.Load(),
+	}
+}
+
+func (m *Meter) class(name zinniayoke.ClassName) string {
+	if rules := m.cfg.Rules(); rules != nil {
+		if _, ok := rules.Classes[name]; ok {
+			return string(name)
+		}
+	}
+	return other
+}
+
+func (m *Meter) caller(name zinniayoke.Caller) string {
+	if rules := m.cfg.Rules(); rules != nil {
+		if _, ok := rules.Callers[name]; ok {
+			return string(name)
+		}
+	}
+	return other
+}
--- /dev/null
+++ b/io/zynode/node.go
@@ -0,0 +1,407 @@
+// Package zynode wires the parts of one node together.
+package zynode
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"zinniayoke"
+	"zinniayoke/core/zyagreement"
+	"zinniayoke/core/zyattempt"
+	"zinniayoke/core/zyclaim"
+	"zinniayoke/core/zydoor"
+	"zinniayoke/core/zyegress"
+	"zinniayoke/core/zyentry"
+	"zinniayoke/core/zyfence"
+	"zinniayoke/core/zyhome"
+	"zinniayoke/core/zyingress"
+	"zinniayoke/core/zymember"
+	"zinniayoke/core/zyparent"
+	"zinniayoke/core/zypick"
+	"zinniayoke/core/zyrank"
+	"zinniayoke/core/zysettings"
+	"zinniayoke/core/zysuspect"
+	"zinniayoke/core/zytimer"
+	"zinniayoke/io/zygossip"
+	"zinniayoke/io/zylog"
+	"zinniayoke/io/zylogger"
+	"zinniayoke/io/zymetric"
+	"zinniayoke/io/zypeer"
+	"zinniayoke/io/zyweb"
+	"zinniayoke/io/zyworker"
+)
+
+// Config configures a node.
+type Config struct {
+	Settings *zysettings.Settings
+	Output   io.Writer
+	// Period is the probe period of the membership; 0 means one second.
+	Period time.Duration
+}
+
+const (
+	usualPeriod     = 1 * time.Second
+	rememberDead    = 1 * time.Hour
+	followPeriod    = 500 * time.Millisecond
+	syncPeriod      = 30 * time.Second
+	upkeepPeriod    = 1 * time.Second
+	joinTimeout     = 1 * time.Second
+	mostAttempts    = 200_000
+	mostKeys        = 200_000
+	mostSuspects    = 4096
+	mostAnswerBytes = 32 * zinniayoke.MiB
+	keepAttempts    = 1 * time.Minute
+	firstKeyWindow  = 10 * time.Minute
+	probeShare      = 0.01
+	drainNotice     = 300 * time.Millisecond
+	headerTimeout   = 10 * time.Second
+)
+
+// Node is one running node. A Node must be made with New.
+type Node struct {
+	cfg      Config
+	id       zinniayoke.NodeID
+	logger   *zylogger.Logger
+	log      *zylogger.Part
+	timer    *zytimer.Service
+	book     *ruleBook
+	view     *view
+	client   *zypeer.Client
+	server   *zypeer.Server
+	gossip   *zygossip.Socket
+	platform zinniayoke.Log
+	follower *follower
+	spread   *spreader
+	receiver *zyingress.Receiver
+	grants   *zyclaim.Grants
+	keeper   *zyclaim.Keeper
+	fence    *zyfence.Table
+	home     *zyhome.Home
+	keepers  *keepers
+	entry    *zyentry.Entry
+	picker   *zypick.Picker
+	suspects *zysuspect.Book
+	meter    *zymetric.Meter
+	registry *prometheus.Registry
+	https    []*http.Server
+	subs     []*zytimer.Subscription
+	ports    ports
+	joined   bool
+	leaving  atomic.Bool
+	since    time.Time
+	// peer is the address of the peer port, also for membership packets.
+	peer string
+}
+
+// ports holds the listeners of a node.
+type ports struct {
+	caller   net.Listener
+	upstream net.Listener
+	admin    net.Listener
+	peer     net.Listener
+	gossip   net.PacketConn
+}
+
+// App returns the node as an fx application: its start hook brings the node up,
+// its stop hook ends it gracefully.
+func App(cfg Config, extra ...fx.Option) *fx.App {
+	options := []fx.Option{
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.StartTimeout(time.Minute),
+		fx.StopTimeout(cfg.Settings.Shutdown.Grace + time.Minute),
+		fx.Supply(cfg),
+		fx.Provide(New),
+		fx.Invoke(func(lc fx.Lifecycle, n *Node) {
+			lc.Append(fx.Hook{OnStart: n.Start, OnStop: n.Stop})
+		}),
+	}
+	return fx.New(append(options, extra...)...)
+}
+
+// New makes a node and opens its ports.
+func New(cfg Config) (*Node, error) {
+	if cfg.Period == 0 {
+		cfg.Period = usualPeriod
+	}
+	logger, err := zylogger.New(zylogger.Config{
+		Output: cfg.Output, Level: cfg.Settings.Logging.Level, Format: cfg.Settings.Logging.Format,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("node: %w", err)
+	}
+	n := &Node{cfg: cfg, logger: logger, log: logger.Part("node"), since: time.Now()}
+	n.id = zinniayoke.NodeID(fmt.Sprintf("%s/%016x", cfg.Settings.Host, time.Now().UnixNano()))
+	if err := n.listen(); err != nil {
+		return nil, err
+	}
+	n.timer = zytimer.New()
+	n.book = newRuleBook(zyagreement.Authority{
+		Approvals: cfg.Settings.Genesis.Approvals, Approvers: cfg.Settings.Genesis.Approvers,
+	})
+	n.platform = zylog.NewClient(zylog.ClientConfig{Address: cfg.Settings.Log})
+	n.client = zypeer.NewClient(zypeer.ClientConfig{Key: cfg.Settings.PeerKey, Timer: n.timer})
+	n.makeView()
+	n.makeRequestPath()
+	return n, n.makeServers()
+}
+
+func (n *Node) listen() error {
+	l := n.cfg.Settings.Listen
+	var failures []error
+	open := func(name, address string) net.Listener {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			failures = append(failures, fmt.Errorf("%s port: %w", name, err))
+		}
+		return listener
+	}
+	n.ports.caller = open("caller", l.Caller)
+	n.ports.upstream = open("upstream", l.Upstream)
+	n.ports.admin = open("admin", l.Admin)
+	n.ports.peer = open("peer", l.Peer)
+	if err := errors.Join(failures...); err != nil {
+		return err
+	}
+	n.peer = n.ports.peer.Addr().String()
+	gossip, err := net.ListenPacket("udp", n.peer)
+	if err != nil {
+		return fmt.Errorf("membership port: %w", err)
+	}
+	n.ports.gossip = gossip
+	return nil
+}
+
+func (n *Node) makeView() {
+	n.view = newView(n.id, n.book.Rules)
+	seed := uint64(time.Now().UnixNano())
+	n.suspects = zysuspect.New(zysuspect.Config{Most: mostSuspects})
+	n.view.table = zymember.NewTable(time.Now(), zymember.Config{
+		Self:     n.self(),
+		Period:   n.cfg.Period,
+		Remember: rememberDead,
+		Random:   rand.New(rand.NewPCG(seed, uint64(len(n.id)))),
+		OnSuspectRequest: func(now time.Time, c zymember.Change) {
+			news := zysuspect.Case{Print: zysuspect.Print(c.Print), Crashes: c.Crashes, Alone: c.Alone}
+			if n.suspects.Merge(now, news) {
+				n.view.table.Suspect(c)
+			}
+		},
+	})
+	n.view.refresh()
+}
+
+// self is what the node says about itself.
+func (n *Node) self() zinniayoke.Upstream {
+	u := zinniayoke.Upstream{Node: n.id, Place: n.cfg.Settings.Place, Peer: n.peer, Leaving: n.leaving.Load()}
+	if n.receiver == nil {
+		return u
+	}
+	told, state := n.receiver.Worker()
+	u.Service, u.Slots, u.Connections = told.Service, told.Slots, told.Connections
+	u.State, u.Incarnation = state, told.Incarnation
+	return u
+}
+
+func (n *Node) makeRequestPath() {
+	n.registry = prometheus.NewRegistry()
+	n.meter = zymetric.New(zymetric.Config{Registry: n.registry, Rules: n.book.Rules})
+	n.grants = zyclaim.NewGrants(zyclaim.GrantsConfig{Node: n.id, Most: mostKeys, Window: firstKeyWindow})
+	n.keeper = zyclaim.NewKeeper(zyclaim.KeeperConfig{Node: n.id, Most: mostKeys, Window: firstKeyWindow})
+	n.fence = zyfence.New(zyfence.Config{Most: mostAttempts, MostBytes: mostAnswerBytes, Keep: keepAttempts})
+	parents := &zyparent.Table{}
+	door := zydoor.New(zydoor.Config{ProbeShare: probeShare})
+	n.picker = zypick.New(zypick.Config{
+		Place: n.cfg.Settings.Place, Roster: n.view, Random: rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1)),
+	})
+	n.receiver = zyingress.New(zyingress.Config{
+		Node: n.id, Rules: n.book.Rules, Fence: n.fence, Grants: n.grants, Suspects: n.suspects,
+		Parents: parents, Timer: n.timer, Meter: n.meter, OnSuspects: n.spreadSuspects,
+	})
+	sender := zyegress.New(zyegress.Config{
+		Peers: &localPeers{self: n.id, receiver: n.receiver, remote: n.client}, Picker: n.picker, Roster: n.view, Door: door,
+		Budgets: zyattempt.NewBudgets(), Suspects: n.suspects, Meter: n.meter, Rules: n.book.Rules,
+	})
+	n.keepers = &keepers{
+		node: n.id, view: n.view, client: n.client, rules: n.book.Rules, ask: n.receiver.Ask,
+		memory: zyhome.Answerer{Grants: n.grants, Keeper: n.keeper},
+	}
+	n.home = zyhome.New(zyhome.Config{
+		Node: n.id, Domain: n.cfg.Settings.Place.Domain, Keeper: n.keeper, Sender: sender,
+		Rules: n.book.Rules, Elders: n.keepers, Roll: n.view,
+	})
+	n.keepers.home = n.home
+	n.entry = zyentry.New(zyentry.Config{
+		Rules: n.book.Rules, Parents: parents, Door: door, Sender: sender, Keepers: n.keepers,
+		Suspects: n.suspects, Shares: zyrank.NewShares(), Meter: n.meter,
+	})
+}
+
+func (n *Node) makeServers() error {
+	s := n.cfg.Settings
+	n.spread = &spreader{
+		self: n.id, domain: s.Place.Domain, book: n.book, view: n.view, client: n.client, log: n.logger.Part("bundle"),
+	}
+	n.follower = &follower{
+		self: n.id, domain: s.Place.Domain, log: n.platform, book: n.book, view: n.view,
+		spread: n.spread, out: n.logger.Part("log"),
+	}
+	n.book.changed = n.onBundle
+	server, err := zypeer.NewServer(zypeer.ServerConfig{Listener: n.ports.peer, Key: s.PeerKey, Service: &peerService{node: n}})
+	if err != nil {
+		return fmt.Errorf("node: %w", err)
+	}
+	n.server = server
+	n.https = []*http.Server{
+		newHTTP(zyweb.NewCaller(zyweb.CallerConfig{Entry: n.entry, Rules: n.book.Rules})),
+		newHTTP(zyweb.NewUpstream(zyweb.UpstreamConfig{Announce: n.announce})),
+		newHTTP(zyweb.NewAdmin(zyweb.AdminConfig{
+			Registry: n.registry, Ready: n.Ready, State: func() any { return n.State() }, SetLevel: n.logger.SetLevel,
+		})),
+	}
+	n.registerGauges()
+	return nil
+}
+
+func newHTTP(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+}
+
+// announce takes in what the host's worker says.
+func (n *Node) announce(a zyingress.Announcement) error {
+	changed, err := n.receiver.Announce(a, func(a zyingress.Announcement) zinniayoke.Worker {
+		return zyworker.New(zyworker.Config{Address: a.Address, Connections: a.Connections})
+	})
+	if err != nil {
+		return fmt.Errorf("worker: %w", err)
+	}
+	if changed {
+		n.updateSelf()
+	}
+	return nil
+}
+
+// updateSelf tells the others what has changed here.
+func (n *Node) updateSelf() {
+	u := n.self()
+	n.view.mu.Lock()
+	before := n.view.table.Revision()
+	n.view.table.Update(time.Now(), u)
+	changed := n.view.table.Revision() != before
+	n.view.mu.Unlock()
+	if !changed {
+		return
+	}
+	n.view.refresh()
+	if n.gossip != nil {
+		n.gossip.Flush()
+	}
+}
+
+func (n *Node) spreadSuspects(cases []zysuspect.Case) {
+	n.log.With("requests", len(cases)).Warn("The worker has crashed. The requests that it ran are suspected.")
+	n.view.mu.Lock()
+	for _, c := range cases {
+		n.view.table.Suspect(zymember.Change{Print: uint64(c.Print), Crashes: c.Crashes, Alone: c.Alone})
+	}
+	n.view.mu.Unlock()
+	n.gossip.Flush()
+}
+
+// onBundle puts the limits of a new bundle into force here.
+func (n *Node) onBundle() {
+	rules := n.book.Rules()
+	n.grants.SetWindow(rules.KeyWindow)
+	n.keeper.SetWindow(rules.KeyWindow)
+	n.view.mu.Lock()
+	n.view.table.SetVersion(rules.Version)
+	n.view.mu.Unlock()
+	n.log.With("version", rules.Version).Info("A bundle is in force.")
+}
+
+// NotReadyError says why a node does not serve yet.
+type NotReadyError struct {
+	Problem string
+}
+
+// Error returns the problem.
+func (e *NotReadyError) Error() string {
+	return e.Problem
+}
+
+// Ready returns a *NotReadyError where the node cannot serve.
+func (n *Node) Ready() error {
+	if n.book.Rules() == nil {
+		return &NotReadyError{Problem: "no bundle is in force here yet"}
+	}
+	return nil
+}
+
+// Start brings the node up.
+func (n *Node) Start(_ context.Context) error {
+	go n.server.Serve()
+	n.gossip = zygossip.New(zygossip.Config{
+		Conn: n.ports.gossip, Key: n.cfg.Settings.PeerKey, Table: n.view.table, Lock: &n.view.mu,
+		Timer: n.timer, Period: n.cfg.Period,
+		OnVersion: func(p *zymember.Packet) { n.spread.Notice(p.Version, p.FromAddress) },
+		OnChange:  n.onMembers,
+	})
+	n.join()
+	for i, listener := range []net.Listener{n.ports.caller, n.ports.upstream, n.ports.admin} {
+		go n.serve(n.https[i], listener)
+	}
+	n.subscribe()
+	n.log.With("id", n.id).Info("The node has started.")
+	return nil
+}
+
+func (n *Node) serve(server *http.Server, listener net.Listener) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		n.log.With("error", err).Warn("A port has failed.")
+	}
+}
+
+func (n *Node) subscribe() {
+	n.subs = append(n.subs,
+		n.timer.Every(followPeriod, n.follower.Follow),
+		n.timer.Every(syncPeriod, func(time.Time) { n.syncRandom() }),
+		n.timer.Every(upkeepPeriod, n.upkeep),
+	)
+}
+
+func (n *Node) onMembers() {
+	n.view.refresh()
+	n.home.Retain()
+}
+
+func (n *Node) upkeep(now time.Time) {
+	n.keeper.Sweep(now)
+	n.picker.Sweep(now)
+	n.updateSelf()
+	if !n.joined {
+		n.join()
+	}
+}
+
+// Addresses returns the addresses of the node's ports.
+func (n *Node) Addresses() zysettings.Listen {
+	return zysettings.Listen{
+		Caller: n.ports.caller.Addr().String(), Upstream: n.ports.upstream.Addr().String(),
+		Peer: n.peer, Admin: n.ports.admin.Addr().String(),
+	}
+}
+
+// ID returns the node's id.
+func (n *Node) ID() zinniayoke.NodeID {
+	return n.id
+}
--- /dev/null
+++ b/io/zynode/service.go
@@ -0,0 +1,99 @@
+package zynode
+
+import (
+	"context"
+	"time"
+
+	"zinniayoke"
+	"zinniayoke/core/zyhome"
+	"zinniayoke/core/zyingress"
+	"zinniayoke/io/zypeer"
+)
+
+// Ask tells the fate of an attempt.
+func (p *peerService) Ask(id zinniayoke.AttemptID) (*zinniayoke.AskReply, error) {
+	return p.node.receiver.Ask(id)
+}
+
+// Cancel ends an attempt that nobody waits for.
+func (p *peerService) Cancel(id zinniayoke.AttemptID) {
+	p.node.receiver.Cancel(id)
+}
+
+// Book runs a request whose key this node keeps.
+func (p *peerService) Book(ctx context.Context, c *zinniayoke.Call) *zinniayoke.Reply {
+	return p.node.keepers.book(ctx, c)
+}
+
+// Note tells whether a key ran nowhere.
+func (p *peerService) Note(ctx context.Context, key zinniayoke.Key) bool {
+	return p.node.home.Note(ctx, key)
+}
+
+// Recall answers a keeper that takes slots over.
+func (p *peerService) Recall(slots []zinniayoke.Slot, epoch zinniayoke.Epoch) *zyhome.Recall {
+	return p.node.keepers.memory.Recall(slots, epoch)
+}
+
+// Inherit takes over what a leaving node remembers.
+func (p *peerService) Inherit(args *zypeer.InheritArgs) {
+	promises := make(map[zinniayoke.Slot]zinniayoke.Epoch, len(args.Promises))
+	for _, promise := range args.Promises {
+		promises[promise.Slot] = promise.Epoch
+	}
+	p.node.grants.Inherit(time.Now(), args.Held, promises)
+}
+
+// Sync compares member lists.
+func (p *peerService) Sync(args *zypeer.SyncArgs) *zypeer.SyncReply {
+	n := p.node
+	n.view.mu.Lock()
+	changes := n.view.table.Differing(args.Buckets)
+	n.view.mu.Unlock()
+	n.merge(args.Self)
+	return &zypeer.SyncReply{Changes: changes}
+}
+
+// Bundle takes a bundle in and tells the version in force.
+func (p *peerService) Bundle(args *zypeer.BundleArgs) *zypeer.BundleReply {
+	return p.node.spread.Take(args)
+}
+
+// localPeers sends attempts for this node's own worker without a connection.
+type localPeers struct {
+	self     zinniayoke.NodeID
+	receiver *zyingress.Receiver
+	remote   zinniayoke.Peers
+}
+
+// Run sends an attempt.
+func (l *localPeers) Run(ctx context.Context, to zinniayoke.Upstream, a *zinniayoke.Attempt) (*zinniayoke.Reply, error) {
+	if to.Node != l.self {
+		return l.remote.Run(ctx, to, a)
+	}
+	replies := make(chan *zinniayoke.Reply, 1)
+	go func() { replies <- l.receiver.Run(context.WithoutCancel(ctx), a) }()
+	select {
+	case reply := <-replies:
+		return reply, nil
+	case <-ctx.Done():
+		return nil, context.Cause(ctx)
+	}
+}
+
+// Ask asks what became of an attempt.
+func (l *localPeers) Ask(ctx context.Context, to zinniayoke.Upstream, id zinniayoke.AttemptID) (*zinniayoke.AskReply, error) {
+	if to.Node == l.self {
+		return l.receiver.Ask(id)
+	}
+	return l.remote.Ask(ctx, to, id)
+}
+
+// Cancel tells a node that nobody waits for an attempt.
+func (l *localPeers) Cancel(to zinniayoke.Upstream, id zinniayoke.AttemptID) {
+	if to.Node == l.self {
+		l.receiver.Cancel(id)
+		return
+	}
+	l.remote.Cancel(to, id)
+}
--- /dev/null
+++ b/io/zynode/stop.go
@@ -0,0 +1,67 @@
+package zynode
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"zinniayoke/core/zyclaim"
+	"zinniayoke/io/zypeer"
+)
+
+// Stop ends the node gracefully: it tells the others, refuses new work
+// truthfully, finishes what is in flight and hands over what it remembers.
+func (n *Node) Stop(ctx context.Context) error {
+	n.log.Info("The node is stopping.")
+	ctx, cancel := context.WithTimeout(ctx, n.cfg.Settings.Shutdown.Grace)
+	defer cancel()
+	for _, sub := range n.subs {
+		sub.Cancel()
+	}
+	n.leaving.Store(true)
+	n.updateSelf()
+	sleep(ctx, drainNotice)
+	failures := []error{
+		n.https[0].Shutdown(ctx),
+		n.home.Drain(ctx),
+		n.receiver.Drain(ctx),
+	}
+	n.handOver(ctx)
+	n.close()
+	n.log.Info("The node has stopped.")
+	return errors.Join(failures...)
+}
+
+// handOver gives what this node remembers of keys to its heir. Only then it
+// leaves the list as planned; else it is lost for those who ask for keys.
+func (n *Node) handOver(ctx context.Context) {
+	heir := zyclaim.HeirOf(n.id, n.view.Keepers(n.cfg.Settings.Place.Domain))
+	held, promises := n.grants.Export(time.Now())
+	args := &zypeer.InheritArgs{Held: held}
+	for slot, epoch := range promises {
+		args.Promises = append(args.Promises, zypeer.Promise{Slot: slot, Epoch: epoch})
+	}
+	u, ok := n.view.Find(heir)
+	if !ok || n.client.Inherit(ctx, u.Peer, args) != nil {
+		n.log.Warn("Nobody takes over the keys of this node.")
+		return
+	}
+	n.view.mu.Lock()
+	n.view.table.Leave(time.Now())
+	n.view.mu.Unlock()
+	const times = 3
+	for range times {
+		n.gossip.Flush()
+	}
+}
+
+func (n *Node) close() {
+	for _, server := range n.https {
+		_ = server.Close()
+	}
+	n.gossip.Close()
+	n.server.Close()
+	n.client.Close()
+	n.receiver.Close()
+	n.timer.Stop()
+}
--- /dev/null
+++ b/io/zynode/view.go
@@ -0,0 +1,126 @@
+package zynode
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"zinniayoke"
+	"zinniayoke/core/zybundle"
+	"zinniayoke/core/zymember"
+)
+
+// view is what the node knows of all nodes, in the forms that its parts need.
+// It implements zinniayoke.Roster and zyhome.Roll.
+type view struct {
+	self  zinniayoke.NodeID
+	rules func() *zybundle.Bundle
+
+	mu    sync.Mutex
+	table *zymember.Table
+
+	current atomic.Pointer[snapshot]
+}
+
+// snapshot is one state of the list. It is never changed.
+type snapshot struct {
+	members   []zymember.Member
+	byNode    map[zinniayoke.NodeID]zymember.Member
+	byService map[zinniayoke.Service][]zinniayoke.Upstream
+	keepers   map[zinniayoke.Domain][]zinniayoke.NodeID
+}
+
+func newView(self zinniayoke.NodeID, rules func() *zybundle.Bundle) *view {
+	v := &view{self: self, rules: rules}
+	v.current.Store(&snapshot{})
+	return v
+}
+
+// refresh rebuilds the snapshot after the list has changed.
+func (v *view) refresh() {
+	v.mu.Lock()
+	members := v.table.Members()
+	v.mu.Unlock()
+	slices.SortFunc(members, func(a, b zymember.Member) int {
+		if a.Upstream.Node < b.Upstream.Node {
+			return -1
+		}
+		return 1
+	})
+	s := &snapshot{
+		members:   members,
+		byNode:    make(map[zinniayoke.NodeID]zymember.Member, len(members)),
+		byService: make(map[zinniayoke.Service][]zinniayoke.Upstream),
+		keepers:   make(map[zinniayoke.Domain][]zinniayoke.NodeID),
+	}
+	for _, m := range members {
+		s.add(m)
+	}
+	v.current.Store(s)
+}
+
+func (s *snapshot) add(m zymember.Member) {
+	u := m.Upstream
+	s.byNode[u.Node] = m
+	if !isHere(m) || u.Leaving {
+		return
+	}
+	s.keepers[u.Place.Domain] = append(s.keepers[u.Place.Domain], u.Node)
+	if u.Service != "" && u.State != zinniayoke.WorkerGone {
+		s.byService[u.Service] = append(s.byService[u.Service], u)
+	}
+}
+
+func isHere(m zymember.Member) bool {
+	return m.Status == zinniayoke.MemberAlive || m.Status == zinniayoke.MemberSuspect
+}
+
+// Upstreams returns the workers of a service.
+func (v *view) Upstreams(s zinniayoke.Service) []zinniayoke.Upstream {
+	return v.current.Load().byService[s]
+}
+
+// Keepers returns the nodes of a failure domain that keep keys.
+func (v *view) Keepers(d zinniayoke.Domain) []zinniayoke.NodeID {
+	return v.current.Load().keepers[d]
+}
+
+// Memories returns the nodes that may remember keys: those that are there, and
+// those that were lost, with the time. A node that left as planned has handed
+// over what it remembered.
+func (v *view) Memories() ([]zinniayoke.NodeID, map[zinniayoke.NodeID]time.Time) {
+	var there []zinniayoke.NodeID
+	lost := make(map[zinniayoke.NodeID]time.Time)
+	for _, m := range v.current.Load().members {
+		switch {
+		case isHere(m):
+			there = append(there, m.Upstream.Node)
+		case m.Status == zinniayoke.MemberDead:
+			lost[m.Upstream.Node] = m.Since
+		}
+	}
+	return there, lost
+}
+
+// Find returns what is known of a node.
+func (v *view) Find(id zinniayoke.NodeID) (zinniayoke.Upstream, bool) {
+	m, ok := v.current.Load().byNode[id]
+	return m.Upstream, ok
+}
+
+// Members returns all members.
+func (v *view) Members() []zymember.Member {
+	return v.current.Load().members
+}
+
+// Others returns the addresses of all other nodes that are there.
+func (v *view) Others() []string {
+	var list []string
+	for _, m := range v.current.Load().members {
+		if isHere(m) && m.Upstream.Node != v.self {
+			list = append(list, m.Upstream.Peer)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/io/zypeer/server.go
@@ -0,0 +1,204 @@
+package zypeer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/ugorji/go/codec"
+
+	"zinniayoke"
+	"zinniayoke/core/zyhome"
+)
+
+// Service is what a node does for its peers.
+type Service interface {
+	Run(ctx context.Context, a *zinniayoke.Attempt) *zinniayoke.Reply
+	Ask(id zinniayoke.AttemptID) (*zinniayoke.AskReply, error)
+	Cancel(id zinniayoke.AttemptID)
+	Book(ctx context.Context, c *zinniayoke.Call) *zinniayoke.Reply
+	Note(ctx context.Context, key zinniayoke.Key) bool
+	Recall(slots []zinniayoke.Slot, epoch zinniayoke.Epoch) *zyhome.Recall
+	Inherit(args *InheritArgs)
+	Sync(args *SyncArgs) *SyncReply
+	Bundle(args *BundleArgs) *BundleReply
+}
+
+// ServerConfig configures a Server.
+type ServerConfig struct {
+	Listener net.Listener
+	Key      []byte
+	Service  Service
+}
+
+const (
+	handshakeTimeout = 2 * time.Second
+	noteTimeout      = 1 * time.Second
+	mostElements     = 1 << 20
+	serviceName      = "Node"
+)
+
+// Server answers peers. A Server must be made with NewServer.
+type Server struct {
+	cfg    ServerConfig
+	rpc    *rpc.Server
+	mu     sync.Mutex
+	conns  map[net.Conn]bool
+	closed bool
+	active sync.WaitGroup
+}
+
+// NewServer returns a server; Serve runs it.
+func NewServer(cfg ServerConfig) (*Server, error) {
+	s := &Server{cfg: cfg, rpc: rpc.NewServer(), conns: make(map[net.Conn]bool)}
+	if err := s.rpc.RegisterName(serviceName, &methods{service: cfg.Service}); err != nil {
+		return nil, fmt.Errorf("peer service: %w", err)
+	}
+	return s, nil
+}
+
+// Serve accepts connections until Close.
+func (s *Server) Serve() {
+	for {
+		conn, err := s.cfg.Listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		s.active.Add(1)
+		go s.serveConn(conn)
+	}
+}
+
+func (s *Server) serveConn(conn net.Conn) {
+	defer s.active.Done()
+	if !s.track(conn) {
+		_ = conn.Close()
+		return
+	}
+	defer s.untrack(conn)
+	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
+	if err := welcome(conn, s.cfg.Key); err != nil {
+		_ = conn.Close()
+		return
+	}
+	_ = conn.SetDeadline(time.Time{})
+	s.rpc.ServeCodec(codec.GoRpc.ServerCodec(conn, rpcHandle()))
+}
+
+func rpcHandle() *codec.MsgpackHandle {
+	h := &codec.MsgpackHandle{}
+	h.MaxInitLen = mostElements
+	h.ReaderBufferSize = 4096
+	h.WriterBufferSize = 4096
+	return h
+}
+
+func (s *Server) track(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.conns[conn] = true
+	return true
+}
+
+func (s *Server) untrack(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
+
+// Close ends the listener and all connections.
+func (s *Server) Close() {
+	_ = s.cfg.Listener.Close()
+	s.mu.Lock()
+	s.closed = true
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+	s.mu.Unlock()
+	s.active.Wait()
+}
+
+// methods adapts a Service to the signatures that net/rpc wants.
+type methods struct {
+	service Service
+}
+
+// Run runs an attempt.
+func (m *methods) Run(a *zinniayoke.Attempt, out *zinniayoke.Reply) error {
+	*out = *m.service.Run(context.Background(), a)
+	return nil
+}
+
+// Ask tells the fate of an attempt.
+func (m *methods) Ask(args *AskArgs, out *zinniayoke.AskReply) error {
+	told, err := m.service.Ask(args.Attempt)
+	if err != nil {
+		return fmt.Errorf("ask: %w", err)
+	}
+	*out = *told
+	return nil
+}
+
+// Cancel ends an attempt.
+func (m *methods) Cancel(args *CancelArgs, _ *Empty) error {
+	m.service.Cancel(args.Attempt)
+	return nil
+}
+
+// Ping is the heartbeat of a connection.
+func (m *methods) Ping(_ *Empty, _ *Empty) error {
+	return nil
+}
+
+// Book runs a request whose key this node keeps.
+func (m *methods) Book(args *BookArgs, out *zinniayoke.Reply) error {
+	call := args.Call
+	call.Deadline = time.Now().Add(time.Duration(args.Left))
+	ctx, cancel := context.WithDeadline(context.Background(), call.Deadline)
+	defer cancel()
+	*out = *m.service.Book(ctx, &call)
+	return nil
+}
+
+// Note tells whether a key ran nowhere.
+func (m *methods) Note(args *NoteArgs, out *NoteReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), noteTimeout)
+	defer cancel()
+	out.NotRun = m.service.Note(ctx, args.Key)
+	return nil
+}
+
+// Recall answers a keeper that takes slots over.
+func (m *methods) Recall(args *RecallArgs, out *zyhome.Recall) error {
+	*out = *m.service.Recall(args.Slots, args.Epoch)
+	return nil
+}
+
+// Inherit takes over what a leaving node remembers.
+func (m *methods) Inherit(args *InheritArgs, _ *Empty) error {
+	m.service.Inherit(args)
+	return nil
+}
+
+// Sync compares member lists.
+func (m *methods) Sync(args *SyncArgs, out *SyncReply) error {
+	*out = *m.service.Sync(args)
+	return nil
+}
+
+// Bundle takes a bundle in and returns the one in force.
+func (m *methods) Bundle(args *BundleArgs, out *BundleReply) error {
+	*out = *m.service.Bundle(args)
+	return nil
+}
--- /dev/null
+++ b/io/zyweb/caller.go
@@ -0,0 +1,204 @@
+// Package zyweb serves the ports of a node that speak HTTP: for callers, for
+// the host's own worker, and for operators.
+package zyweb
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"zinniayoke"
+	"zinniayoke/core/zybundle"
+	"zinniayoke/core/zyentry"
+	"zinniayoke/io/zyworker"
+)
+
+// Headers between callers and the entry.
+const (
+	CallerHeader   = "Zinniayoke-Caller"
+	KeyHeader      = "Idempotency-Key"
+	RequestHeader  = "Zinniayoke-Request"
+	OutcomeHeader  = "Zinniayoke-Outcome"
+	AttemptsHeader = "Zinniayoke-Attempts"
+)
+
+// Handler answers a call.
+type Handler interface {
+	Handle(ctx context.Context, in *zyentry.Inbound) *zyentry.Result
+}
+
+// CallerConfig configures the caller port.
+type CallerConfig struct {
+	Entry Handler
+	Rules func() *zybundle.Bundle
+}
+
+const (
+	largestBody    = 8 << 20
+	longestTimeout = 10 * time.Minute
+)
+
+// NewCaller returns the handler of the caller port.
+func NewCaller(cfg CallerConfig) http.Handler {
+	gin.SetMode(gin.ReleaseMode)
+	engine := gin.New()
+	engine.Use(gin.Recovery())
+	p := &callerPort{cfg: cfg}
+	engine.Any("/call/:service/*path", p.call)
+	engine.NoRoute(func(c *gin.Context) {
+		refuse(c, zinniayoke.Refuse(zinniayoke.ReasonNoRoute, "the caller port has /call/{service}/{path}"))
+	})
+	return engine
+}
+
+type callerPort struct {
+	cfg CallerConfig
+}
+
+func (p *callerPort) call(c *gin.Context) {
+	in, err := inboundOf(c)
+	if err != nil {
+		refuse(c, err)
+		return
+	}
+	result := p.cfg.Entry.Handle(c.Request.Context(), in)
+	reply := result.Reply
+	h := c.Writer.Header()
+	h.Set(RequestHeader, string(result.Request))
+	h.Set(OutcomeHeader, reply.Outcome.String())
+	h.Set(AttemptsHeader, strconv.Itoa(int(result.Attempts)))
+	if reply.Outcome != zinniayoke.OutcomeDone || reply.Answer == nil {
+		writeFailure(c, reply)
+		return
+	}
+	for _, header := range reply.Answer.Headers {
+		h.Add(header.Name, header.Value)
+	}
+	c.Status(reply.Answer.Status)
+	h.Set("Content-Length", strconv.Itoa(len(reply.Answer.Body)))
+	_, _ = c.Writer.Write(reply.Answer.Body)
+}
+
+// inboundOf reads a call. The error is a *zinniayoke.CallError.
+func inboundOf(c *gin.Context) (*zyentry.Inbound, error) {
+	timeout, err := timeoutOf(c.GetHeader(zyworker.TimeoutHeader))
+	if err != nil {
+		return nil, err
+	}
+	token, err := tokenOf(c.GetHeader("Authorization"))
+	if err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(io.LimitReader(c.Request.Body, largestBody+1))
+	if err != nil {
+		return nil, zinniayoke.Refuse(zinniayoke.ReasonMalformed, "the body could not be read")
+	}
+	if len(body) > largestBody {
+		return nil, zinniayoke.Refuse(zinniayoke.ReasonTooLarge, "the body is too large")
+	}
+	r := c.Request.Clone(c.Request.Context())
+	r.URL.Path = c.Param("path")
+	r.URL.RawPath = ""
+	return &zyentry.Inbound{
+		Token: token, Claimed: c.GetHeader(CallerHeader), Key: c.GetHeader(KeyHeader),
+		Context: c.GetHeader(zyworker.ContextHeader), Timeout: timeout,
+		Service: zinniayoke.Service(c.Param("service")), HTTP: r,
+		Headers: zyworker.Export(r.Header), Body: body,
+	}, nil
+}
+
+func timeoutOf(text string) (time.Duration, error) {
+	if text == "" {
+		return 0, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms < 1 || ms > longestTimeout.Milliseconds() {
+		return 0, zinniayoke.Refuse(zinniayoke.ReasonMalformed, zyworker.TimeoutHeader+" takes milliseconds from 1 to 600000")
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+func tokenOf(text string) (string, error) {
+	const scheme = "Bearer "
+	if text == "" {
+		return "", nil
+	}
+	if len(text) <= len(scheme) || text[:len(scheme)] != scheme {
+		return "", zinniayoke.Refuse(zinniayoke.ReasonToken, "Authorization takes Bearer and a token")
+	}
+	return text[len(scheme):], nil
+}
+
+// Failure is the body of a call without an answer.
+type Failure struct {
+	Error FailureDetail `json:"error"`
+}
+
+// FailureDetail says what went wrong.
+type FailureDetail struct {
+	Type    zinniayoke.Reason  `json:"type"`
+	Message string             `json:"message"`
+	Outcome zinniayoke.Outcome `json:"outcome"`
+}
+
+func refuse(c *gin.Context, err error) {
+	var e *zinniayoke.CallError
+	if !errors.As(err, &e) {
+		e = zinniayoke.Lose(zinniayoke.ReasonAnswerLost, err.Error())
+	}
+	if c.GetHeader(KeyHeader) != "" {
+		e.Outcome = zinniayoke.OutcomeUnknown
+	}
+	c.Writer.Header().Set(OutcomeHeader, e.Outcome.String())
+	writeFailure(c, &zinniayoke.Reply{Reason: e.Reason, Outcome: e.Outcome, Detail: e.Detail, RetryAfter: e.RetryAfter})
+}
+
+func writeFailure(c *gin.Context, reply *zinniayoke.Reply) {
+	status := StatusOf(reply.Reason)
+	if wait := retryAfter(status, reply); wait > 0 {
+		c.Writer.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(wait.Seconds()))))
+	}
+	c.JSON(status, Failure{Error: FailureDetail{Type: reply.Reason, Message: reply.Detail, Outcome: reply.Outcome}})
+}
+
+func retryAfter(status int, reply *zinniayoke.Reply) time.Duration {
+	if reply.RetryAfter > 0 {
+		return reply.RetryAfter
+	}
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+		return time.Second
+	}
+	return 0
+}
+
+// StatusOf returns the HTTP status for a reason.
+func StatusOf(r zinniayoke.Reason) int {
+	switch r {
+	case zinniayoke.ReasonMalformed:
+		return http.StatusBadRequest
+	case zinniayoke.ReasonToken:
+		return http.StatusUnauthorized
+	case zinniayoke.ReasonNoRoute:
+		return http.StatusNotFound
+	case zinniayoke.ReasonKeyReused:
+		return http.StatusConflict
+	case zinniayoke.ReasonTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case zinniayoke.ReasonQuarantined:
+		return http.StatusUnprocessableEntity
+	case zinniayoke.ReasonCallerLimit:
+		return http.StatusTooManyRequests
+	case zinniayoke.ReasonAnswerLost:
+		return http.StatusBadGateway
+	case zinniayoke.ReasonDeadline:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
--- /dev/null
+++ b/io/zyweb/upstream.go
@@ -0,0 +1,97 @@
+package zyweb
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/gin-gonic/gin"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"zinniayoke/core/zyingress"
+)
+
+// UpstreamConfig configures the port for the host's own worker.
+type UpstreamConfig struct {
+	Announce func(a zyingress.Announcement) error
+}
+
+const largestAnnouncement = 4 << 10
+
+// Problem is the body of a refused announcement or operator's request.
+type Problem struct {
+	Error string `json:"error"`
+}
+
+// NewUpstream returns the handler of the upstream port.
+func NewUpstream(cfg UpstreamConfig) http.Handler {
+	gin.SetMode(gin.ReleaseMode)
+	engine := gin.New()
+	engine.Use(gin.Recovery())
+	engine.PUT("/announce", func(c *gin.Context) {
+		a, err := ReadAnnouncement(c.Request.Body)
+		if err == nil {
+			err = cfg.Announce(a)
+		}
+		if err != nil {
+			c.JSON(http.StatusBadRequest, Problem{Error: err.Error()})
+			return
+		}
+		c.Status(http.StatusNoContent)
+	})
+	return engine
+}
+
+// ReadAnnouncement reads one announcement as JSON. The error is a
+// *zyingress.AnnouncementError.
+func ReadAnnouncement(r io.Reader) (zyingress.Announcement, error) {
+	var a zyingress.Announcement
+	decoder := json.NewDecoder(io.LimitReader(r, largestAnnouncement))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&a); err != nil {
+		accepted := "service, address, slots, connections, state and incarnation as JSON: " + err.Error()
+		return a, &zyingress.AnnouncementError{Field: "body", Accepted: accepted}
+	}
+	if err := a.Check(); err != nil {
+		return a, errors.Join(err)
+	}
+	return a, nil
+}
+
+// AdminConfig configures the port for operators.
+type AdminConfig struct {
+	Registry *prometheus.Registry
+	// Ready returns nil where the node can serve, else why not.
+	Ready func() error
+	// State returns what /debug/state shows.
+	State func() any
+	// SetLevel changes the log level.
+	SetLevel func(level string) error
+}
+
+// NewAdmin returns the handler of the admin port.
+func NewAdmin(cfg AdminConfig) http.Handler {
+	gin.SetMode(gin.ReleaseMode)
+	engine := gin.New()
+	engine.Use(gin.Recovery())
+	engine.GET("/metrics", gin.WrapH(promhttp.HandlerFor(cfg.Registry, promhttp.HandlerOpts{})))
+	engine.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "alive\n") })
+	engine.GET("/readyz", func(c *gin.Context) {
+		if err := cfg.Ready(); err != nil {
+			c.String(http.StatusServiceUnavailable, "%s\n", err)
+			return
+		}
+		c.String(http.StatusOK, "ready\n")
+	})
+	engine.GET("/debug/state", func(c *gin.Context) { c.IndentedJSON(http.StatusOK, cfg.State()) })
+	engine.PUT("/debug/level/:level", func(c *gin.Context) {
+		if err := cfg.SetLevel(c.Param("level")); err != nil {
+			c.JSON(http.StatusBadRequest, Problem{Error: err.Error()})
+			return
+		}
+		c.Status(http.StatusNoContent)
+	})
+	return engine
+}
--- /dev/null
+++ b/message.go
@@ -0,0 +1,134 @@
+package zinniayoke
+
+import "time"
+
+// Header is one HTTP header of a request or an answer.
+type Header struct {
+	Name  string `codec:"n"`
+	Value string `codec:"v"`
+}
+
+// Call is a caller's request on its way through the filters of a node.
+type Call struct {
+	Request  RequestID
+	Caller   Caller
+	Service  Service
+	Method   string
+	Path     string
+	Query    string
+	Headers  []Header
+	Body     []byte
+	BodyHash uint64
+
+	// Key is set where the caller gave its own key or the parent's key leads to one.
+	Key Key
+	// OwnKey is true where the key came from a caller and not from the entry.
+	OwnKey bool
+
+	Route    RouteName
+	Rank     Rank
+	Deadline time.Time
+	Tokens   Tokens
+	Depth    int
+	Version  Version
+}
+
+// Attempt is one send of a call to the node of one worker.
+// Its zero value is not valid: ID, Request, Service and Method are required.
+type Attempt struct {
+	ID       AttemptID     `codec:"id"`
+	Request  RequestID     `codec:"rq"`
+	Caller   Caller        `codec:"ca"`
+	Service  Service       `codec:"sv"`
+	Route    RouteName     `codec:"ro"`
+	Method   string        `codec:"me"`
+	Path     string        `codec:"pa"`
+	Query    string        `codec:"qu"`
+	Headers  []Header      `codec:"he"`
+	Body     []byte        `codec:"bo"`
+	BodyHash uint64        `codec:"bh"`
+	Key      Key           `codec:"ke"`
+	Grant    Grant         `codec:"gr"`
+	Rank     Rank          `codec:"ra"`
+	Left     time.Duration `codec:"le"`
+	Tokens   Tokens        `codec:"to"`
+	Depth    int           `codec:"de"`
+	Version  Version       `codec:"ve"`
+}
+
+// Grant is a keeper's permission to run a key once. The zero value grants
+// nothing and belongs to calls that need no keeper.
+type Grant struct {
+	Slot  Slot  `codec:"s"`
+	Epoch Epoch `codec:"e"`
+}
+
+// Slot numbers a part of the key space of one home failure domain.
+type Slot struct {
+	Domain Domain `codec:"d"`
+	Number int    `codec:"n"`
+}
+
+// Epoch orders the keepers of one slot. Major grows with each recovery, Node
+// parts two recoveries of the same number, Minor grows with each hand-over.
+// The zero value is lower than any other epoch.
+type Epoch struct {
+	Major uint64 `codec:"a"`
+	Node  NodeID `codec:"n"`
+	Minor uint64 `codec:"i"`
+}
+
+// Less reports whether e is older than f.
+func (e Epoch) Less(f Epoch) bool {
+	if e.Major != f.Major {
+		return e.Major < f.Major
+	}
+	if e.Node != f.Node {
+		return e.Node < f.Node
+	}
+	return e.Minor < f.Minor
+}
+
+// Answer is the whole answer of a worker.
+type Answer struct {
+	Status  int      `codec:"st"`
+	Headers []Header `codec:"he"`
+	Body    []byte   `codec:"bo"`
+	Length  int      `codec:"le"`
+	Hash    uint64   `codec:"ha"`
+	// Request and Attempt name what the answer belongs to.
+	Request RequestID `codec:"rq"`
+	Attempt AttemptID `codec:"at"`
+}
+
+// Reply is what a node says about an attempt.
+type Reply struct {
+	Attempt AttemptID `codec:"id"`
+	Request RequestID `codec:"rq"`
+	// Answer is nil where the attempt was refused or lost.
+	Answer     *Answer       `codec:"an"`
+	Reason     Reason        `codec:"re"`
+	Outcome    Outcome       `codec:"ou"`
+	Detail     string        `codec:"de"`
+	RetryAfter time.Duration `codec:"af"`
+	// Unused tokens go back to the sender.
+	Unused Tokens `codec:"un"`
+	// Threshold is the lowest rank that the worker and those below it admit now.
+	Threshold Rank `codec:"th"`
+	// Load is the share of its concurrency limit that the worker uses, in percent.
+	Load int `codec:"lo"`
+}
+
+// AskReply tells what became of an attempt.
+type AskReply struct {
+	Fate  Fate   `codec:"fa"`
+	Reply *Reply `codec:"re"`
+}
+
+// WorkerCall is a call as it is handed to the worker.
+type WorkerCall struct {
+	Attempt *Attempt
+	// Context is the handle that the worker returns with its child calls.
+	Context string
+	Left    time.Duration
+}
--- /dev/null
+++ b/platform.go
@@ -0,0 +1,98 @@
+package zinniayoke
+
+import (
+	"context"
+	"time"
+)
+
+// Record is one entry of a stream. ID is chosen by the appender, so that an
+// append whose answer was lost can be looked for.
+type Record struct {
+	Offset Offset `json:"offset"`
+	ID     string `json:"id"`
+	Body   []byte `json:"body"`
+}
+
+// Log is the platform's append-only log. All methods may fail with a *LogError;
+// Read fails with an *ExpiredError where from is no longer kept.
+type Log interface {
+	// Append adds a record and returns its offset.
+	Append(ctx context.Context, s Stream, id string, body []byte) (Offset, error)
+	// Read returns at most limit records, starting with offset from.
+	Read(ctx context.Context, s Stream, from Offset, limit int) ([]Record, error)
+	// First returns the offset of the first record that is kept.
+	First(ctx context.Context, s Stream) (Offset, error)
+}
+
+// Worker is the program on the node's own host that does the work.
+type Worker interface {
+	// Run hands the call to the worker and returns its whole answer.
+	// Handed reports whether the worker may have seen the call.
+	Run(ctx context.Context, call *WorkerCall) (answer *Answer, handed bool, err error)
+	// Probe returns an error where the worker takes no connections.
+	Probe(ctx context.Context) error
+}
+
+// Upstream is what the system knows about one worker and its node.
+type Upstream struct {
+	Node        NodeID      `codec:"node" json:"node"`
+	Place       Place       `codec:"place" json:"place"`
+	Peer        string      `codec:"peer" json:"peer"`
+	Service     Service     `codec:"service" json:"service"`
+	Slots       int         `codec:"slots" json:"slots"`
+	Connections int         `codec:"connections" json:"connections"`
+	State       WorkerState `codec:"state" json:"state"`
+	Incarnation Incarnation `codec:"incarnation" json:"incarnation"`
+	// Leaving is true once the node itself has begun its planned stop.
+	Leaving bool `codec:"leaving" json:"leaving"`
+}
+
+// Peers sends messages to other nodes.
+type Peers interface {
+	// Run sends an attempt to the node of a worker and waits for its reply.
+	Run(ctx context.Context, to Upstream, a *Attempt) (*Reply, error)
+	// Ask asks a node over a fresh connection what became of an attempt.
+	Ask(ctx context.Context, to Upstream, id AttemptID) (*AskReply, error)
+	// Cancel tells a node that nobody waits for an attempt any more.
+	Cancel(to Upstream, id AttemptID)
+}
+
+// Roster knows the upstreams of each service.
+type Roster interface {
+	// Upstreams returns the workers of a service that are not known to be gone.
+	// The result must not be changed.
+	Upstreams(s Service) []Upstream
+}
+
+// CallSample is one finished call at its entry.
+type CallSample struct {
+	Caller  Caller
+	Class   ClassName
+	Outcome Outcome
+	Reason  Reason
+	Took    time.Duration
+	Child   bool
+}
+
+// AttemptSample is one attempt at the worker's node.
+type AttemptSample struct {
+	Class   ClassName
+	Reason  Reason
+	Waited  time.Duration
+	Ran     time.Duration
+	Limit   int
+	Running int
+}
+
+// Meter takes measurements. Implementations must be safe for use by several
+// goroutines.
+type Meter interface {
+	// Call notes the end of a call at its entry.
+	Call(s CallSample)
+	// Attempt notes the end of an attempt at the worker's node.
+	Attempt(s AttemptSample)
+	// Sent notes that an attempt goes out.
+	Sent(s Service)
+	// Mismatch notes an answer that was dropped since it was crossed, short or late.
+	Mismatch()
+}
