--- a/core/zyattempt/pool.go
+++ b/core/zyattempt/pool.go
@@ -43,6 +43,15 @@
 	return share, true
 }
 
+// SpendAll hands all tokens to another node, which tells with its reply how
+// many it did not use.
+func (p *Pool) SpendAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.spent += p.left
+	p.left = 0
+}
+
 // Refund returns what a send did not use. After Close it does nothing.
 func (p *Pool) Refund(unused zinniayoke.Tokens) {
 	p.mu.Lock()
--- a/core/zyentry/entry.go
+++ b/core/zyentry/entry.go
@@ -131,6 +131,7 @@
 func (e *Entry) send(ctx context.Context, j *job) (*zinniayoke.Reply, error) {
 	if j.call.OwnKey {
 		home, _ := j.rules.HomeOf(j.call.Caller)
+		j.pool.SpendAll()
 		reply := e.cfg.Keepers.Run(ctx, home, j.call)
 		j.pool.Refund(reply.Unused)
 		return reply, nil
--- a/io/zydemo/demo.go
+++ b/io/zydemo/demo.go
@@ -389,11 +389,11 @@
 
 // Print writes the report as a table.
 func (r *Report) Print(w io.Writer) {
-	_, _ = fmt.Fprintf(w, "\n%-14s %7s %7s %7s %7s %7s %9s %9s %9s\n",
-		"class", "calls", "whole", "notRun", "unknown", "sends", "p50 ms", "p99 ms", "attempts")
+	_, _ = fmt.Fprintf(w, "\n%-14s %7s %7s %7s %7s %7s %7s %9s %9s %9s\n",
+		"class", "calls", "whole", "notRun", "unknown", "failed", "sends", "p50 ms", "p99 ms", "attempts")
 	for _, c := range r.Classes {
-		_, _ = fmt.Fprintf(w, "%-14s %7d %7d %7d %7d %7d %9.1f %9.1f %9d\n",
-			c.Class, c.Sent, c.Whole, c.NotRun, c.Unknown, c.Sends, c.P50, c.P99, c.MostAttempts)
+		_, _ = fmt.Fprintf(w, "%-14s %7d %7d %7d %7d %7d %7d %9.1f %9.1f %9d\n",
+			c.Class, c.Sent, c.Whole, c.NotRun, c.Unknown, c.Failed, c.Sends, c.P50, c.P99, c.MostAttempts)
 	}
 	_, _ = fmt.Fprintf(w, "\nbookings that ran twice: %d\nanswers to the wrong caller: %d\n", r.Doubled, r.WrongAnswers)
 	_, _ = fmt.Fprintf(w, "said notRun but ran: %d\nsaid done but never ran: %d\n", r.FalseNotRun, r.LostDone)
--- a/io/zyload/load.go
+++ b/io/zyload/load.go
@@ -16,6 +16,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/google/uuid"
 
+	"zinniayoke"
 	"zinniayoke/io/zystandin"
 	"zinniayoke/io/zyweb"
 )
@@ -85,13 +86,17 @@
 	Sent  int `json:"sent"`
 	Whole int `json:"whole"`
 	// Sends counts all sends, the re-sends included.
-	Sends        int     `json:"sends"`
-	NotRun       int     `json:"notRun"`
-	Unknown      int     `json:"unknown"`
-	Wrong        int     `json:"wrong"`
-	MostAttempts int     `json:"mostAttempts"`
-	P50          float64 `json:"p50Ms"`
-	P99          float64 `json:"p99Ms"`
+	Sends   int `json:"sends"`
+	NotRun  int `json:"notRun"`
+	Unknown int `json:"unknown"`
+	// Failed counts whole answers of a worker that say that it failed.
+	Failed       int `json:"failed"`
+	Wrong        int `json:"wrong"`
+	MostAttempts int `json:"mostAttempts"`
+	// Reasons counts the calls without an answer by the reason that was told.
+	Reasons map[string]int `json:"reasons"`
+	P50     float64        `json:"p50Ms"`
+	P99     float64        `json:"p99Ms"`
 }
 
 // New returns a generator.
@@ -148,6 +153,7 @@
 	whole    bool
 	wrong    bool
 	text     string
+	reason   string
 	attempts int
 }
 
@@ -160,7 +166,12 @@
 	for range 1 + f.Resends {
 		sends++
 		last = g.send(f, id)
-		attempts += last.attempts
+		if f.Keyed {
+			attempts += last.attempts
+		} else {
+			// Without a key, each send is a request of its own.
+			attempts = max(attempts, last.attempts)
+		}
 		if last.whole || last.wrong {
 			break
 		}
@@ -186,6 +197,7 @@
 	o := outcome{text: resp.Header.Get(zyweb.OutcomeHeader)}
 	o.attempts, _ = strconv.Atoi(resp.Header.Get(zyweb.AttemptsHeader))
 	if resp.StatusCode != http.StatusOK {
+		o.reason = reasonOf(raw)
 		return o
 	}
 	var item zystandin.Item
@@ -194,6 +206,15 @@
 	return o
 }
 
+// reasonOf returns the type of a failure, "" for an answer of a worker.
+func reasonOf(raw []byte) string {
+	var failure zyweb.Failure
+	if json.Unmarshal(raw, &failure) != nil || failure.Error.Type == zinniayoke.ReasonNone {
+		return ""
+	}
+	return failure.Error.Type.String()
+}
+
 func (g *Generator) request(f Flow, id string) (*http.Request, error) {
 	entry := g.cfg.Entries[rand.IntN(len(g.cfg.Entries))]
 	target := "http://" + entry + "/call/" + f.Service + f.Path
@@ -230,6 +251,7 @@
 	if !ok {
 		t = &tally{latency: hdrhistogram.New(shortestLatency, longestLatency, digits)}
 		t.result.Class = f.Class
+		t.result.Reasons = make(map[string]int)
 		g.classes[f.Class] = t
 	}
 	r := &t.result
@@ -244,6 +266,9 @@
 	if f.Keyed {
 		g.booked[id] = o.text
 	}
+	if !o.whole {
+		r.Reasons[o.reason]++
+	}
 	switch {
 	case o.wrong:
 		r.Wrong++
@@ -253,6 +278,8 @@
 		_ = t.latency.RecordValue(time.Since(start).Microseconds())
 	case o.text == "notRun":
 		r.NotRun++
+	case o.text == "done":
+		r.Failed++
 	default:
 		r.Unknown++
 	}
