zyadmission: open a part of a rank bucket

Cause: after a surge the threshold never fell: it could only open whole buckets of ranks, and the bucket below held more remembered demand than one step admits. Conclusion: the threshold interpolates within a bucket and forgets closed demand.

--- a/core/zyadmission/threshold.go
+++ b/core/zyadmission/threshold.go
@@ -13,6 +13,7 @@
 	reopenFactor    = 1.25
 	closeFactor     = 0.95
 	demandDecay     = 0.9
+	closedDecay     = 0.98
 	bucketShift     = 12
 	fewestDemand    = 1e-3
 )
@@ -82,12 +83,14 @@
 }
 
 // remember updates the demand of the ranks that are open; what is closed keeps
-// its last known demand, since it is shed before it arrives.
+// its last known demand for longer, since it is shed before it arrives.
 func (t *Threshold) remember() {
 	for bucket, demand := range t.demand {
+		decay := closedDecay
 		if t.open(bucket) || t.arrived[bucket] > 0 {
-			t.demand[bucket] = demand * demandDecay
+			decay = demandDecay
 		}
+		t.demand[bucket] = demand * decay
 		if t.demand[bucket] < fewestDemand {
 			delete(t.demand, bucket)
 		}
@@ -137,10 +140,20 @@
 	slices.Sort(buckets)
 	sum := 0.0
 	for i := len(buckets) - 1; i >= 0; i-- {
-		sum += t.demand[buckets[i]]
-		if sum > want {
-			return (buckets[i] + 1) << bucketShift
+		demand := t.demand[buckets[i]]
+		if sum+demand > want {
+			return within(buckets[i], (want-sum)/demand)
 		}
+		sum += demand
 	}
 	return 0
 }
+
+// within returns the threshold that admits a share of a bucket's demand, whose
+// ranks are spread evenly. Without it a bucket with much demand could never
+// open again.
+func within(bucket zinniayoke.Rank, share float64) zinniayoke.Rank {
+	const width = 1 << bucketShift
+	closed := zinniayoke.Rank((1 - max(share, 0)) * width)
+	return bucket<<bucketShift + closed
+}
--- a/io/zydemo/demo.go
+++ b/io/zydemo/demo.go
@@ -53,6 +53,8 @@
 	AllowedAttempts int     `json:"allowedAttempts"`
 	RecoverySeconds float64 `json:"recoverySeconds"`
 	Recovered       bool    `json:"recovered"`
+	// Series holds sent and whole calls for each tenth of a second.
+	Series []zyload.Slot `json:"series"`
 	// ReadySeconds is the time from the start of the first node to the bundle in
 	// force on all.
 	ReadySeconds float64 `json:"readySeconds"`
@@ -332,6 +334,7 @@
 	}
 	recovery, ok := g.Recovery(passed, calmShare)
 	r.RecoverySeconds, r.Recovered = recovery.Seconds(), ok
+	r.Series = g.Series()
 	d.audit(r, g.Bookings())
 	return r
 }
--- a/io/zyload/load.go
+++ b/io/zyload/load.go
@@ -360,3 +360,15 @@
 func (g *Generator) Open() int {
 	return len(g.open)
 }
+
+// Series returns the calls that began in each tenth of a second and how many of
+// them had a whole answer.
+func (g *Generator) Series() []Slot {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	series := make([]Slot, g.longest())
+	for i := range series {
+		series[i].Sent, series[i].Done = g.sum(i)
+	}
+	return series
+}
