--- a/cmd/zinniayoke/main.go
+++ b/cmd/zinniayoke/main.go
@@ -13,6 +13,13 @@
 )
 
 func main() {
+	if err := run(); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	app := &cli.Command{
@@ -23,8 +30,7 @@
 		},
 	}
 	if err := app.Run(ctx, os.Args); err != nil {
-		_, _ = fmt.Fprintln(os.Stderr, err)
-		stop()
-		os.Exit(1)
+		return fmt.Errorf("zinniayoke: %w", err)
 	}
+	return nil
 }
--- a/core/zyegress/sender.go
+++ b/core/zyegress/sender.go
@@ -146,7 +146,7 @@
 	if !ok {
 		return refused(f.Call, zinniayoke.Refuse(zinniayoke.ReasonAttemptsSpent, "the request has used up its attempts"))
 	}
-	a := s.attempt(f, to, share)
+	a := s.attempt(f, share)
 	if f.Before != nil && !f.Before(a.ID, to.Node) {
 		f.Pool.Refund(share + 1)
 		return refused(f.Call, zinniayoke.Refuse(zinniayoke.ReasonStaleEpoch, "the key is kept elsewhere now"))
@@ -164,10 +164,10 @@
 // all nodes.
 func (s *Sender) pick(f *flight) (zinniayoke.Upstream, *zinniayoke.CallError) {
 	c := f.Call
-	print := zysuspect.PrintOf(c.Service, c.Method, c.Path, c.Query, c.Body)
-	if s.judge(print) == zysuspect.RunAlone {
+	content := zysuspect.PrintOf(c.Service, c.Method, c.Path, c.Query, c.Body)
+	if s.judge(content) == zysuspect.RunAlone {
 		f.suspected = true
-		if u, ok := zysuspect.TrialUpstream(print, s.cfg.Roster.Upstreams(c.Service)); ok {
+		if u, ok := zysuspect.TrialUpstream(content, s.cfg.Roster.Upstreams(c.Service)); ok {
 			return u, nil
 		}
 	}
@@ -181,15 +181,15 @@
 	return u, nil
 }
 
-func (s *Sender) judge(print zysuspect.Print) zysuspect.Verdict {
+func (s *Sender) judge(content zysuspect.Print) zysuspect.Verdict {
 	rules := s.cfg.Rules()
-	if rules == nil || rules.Released[print.String()] {
+	if rules == nil || rules.Released[content.String()] {
 		return zysuspect.RunFreely
 	}
-	return s.cfg.Suspects.Judge(time.Now(), print, rules.QuarantineFor)
+	return s.cfg.Suspects.Judge(time.Now(), content, rules.QuarantineFor)
 }
 
-func (s *Sender) attempt(f *flight, to zinniayoke.Upstream, share zinniayoke.Tokens) *zinniayoke.Attempt {
+func (s *Sender) attempt(f *flight, share zinniayoke.Tokens) *zinniayoke.Attempt {
 	c := f.Call
 	return &zinniayoke.Attempt{
 		ID: s.cfg.NewID(), Request: c.Request, Caller: c.Caller, Service: c.Service, Route: c.Route,
--- a/core/zyentry/filter.go
+++ b/core/zyentry/filter.go
@@ -183,12 +183,12 @@
 // refuseQuarantined refuses a request that crashes workers.
 func (e *Entry) refuseQuarantined(next step) step {
 	return func(ctx context.Context, j *job) (*zinniayoke.Reply, error) {
-		print := zysuspect.Print(j.call.BodyHash)
-		if j.rules.Released[print.String()] {
+		content := zysuspect.Print(j.call.BodyHash)
+		if j.rules.Released[content.String()] {
 			return next(ctx, j)
 		}
-		if e.cfg.Suspects.Judge(time.Now(), print, j.rules.QuarantineFor) == zysuspect.RunNever {
-			return nil, zysuspect.Refused(print)
+		if e.cfg.Suspects.Judge(time.Now(), content, j.rules.QuarantineFor) == zysuspect.RunNever {
+			return nil, zysuspect.Refused(content)
 		}
 		return next(ctx, j)
 	}
--- a/core/zymember/table.go
+++ b/core/zymember/table.go
@@ -448,8 +448,9 @@
 
 // Burst returns pings to a few random members, to pass urgent news on at once.
 func (t *Table) Burst() []Addressed {
-	var out []Addressed
-	for _, address := range t.pickHelpers("") {
+	helpers := t.pickHelpers("")
+	out := make([]Addressed, 0, len(helpers))
+	for _, address := range helpers {
 		out = append(out, Addressed{To: address, Packet: t.packet(Ping, 0)})
 	}
 	return out
--- a/io/zydemo/demo.go
+++ b/io/zydemo/demo.go
@@ -136,13 +136,13 @@
 		return nil, err
 	}
 	ready := time.Since(start)
-	d.say("%d nodes are ready after %.1fs.", len(d.nodes), ready.Seconds())
+	d.sayf("%d nodes are ready after %.1fs.", len(d.nodes), ready.Seconds())
 	report := d.load(ctx)
 	report.ReadySeconds = ready.Seconds()
 	return report, nil
 }
 
-func (d *demo) say(format string, args ...any) {
+func (d *demo) sayf(format string, args ...any) {
 	_, _ = fmt.Fprintf(d.cfg.Progress, format+"\n", args...)
 }
 
@@ -253,16 +253,16 @@
 	if err != nil {
 		return fmt.Errorf("proposal: %w", err)
 	}
-	d.say("%s proposed bundle %.12s.", proposer, hash)
+	d.sayf("%s proposed bundle %.12s.", proposer, hash)
 	if err := operator(approver).Sign(ctx, hash); err != nil {
 		return fmt.Errorf("sign-off: %w", err)
 	}
-	d.say("%s signed it off.", approver)
+	d.sayf("%s signed it off.", approver)
 	version, err := operator(proposer).Roll(ctx, hash)
 	if err != nil {
 		return fmt.Errorf("roll-out: %w", err)
 	}
-	d.say("Version %d is rolled out.", version)
+	d.sayf("Version %d is rolled out.", version)
 	return nil
 }
 
@@ -292,7 +292,7 @@
 
 // load runs the three phases.
 func (d *demo) load(ctx context.Context) *Report {
-	var entries []string
+	entries := make([]string, 0, len(d.nodes))
 	for _, n := range d.nodes {
 		entries = append(entries, n.Addresses().Caller)
 	}
@@ -305,14 +305,14 @@
 		g.Run(steady, d.deployment.Steady)
 		close(done)
 	}()
-	d.say("Steady load.")
+	d.sayf("Steady load.")
 	wait(steady, phase)
-	d.say("Surge: five times the load, and failed calls are sent again up to %d times at once.", surgeResends)
+	d.sayf("Surge: five times the load, and failed calls are sent again up to %d times at once.", surgeResends)
 	surge, stopSurge := context.WithTimeout(steady, phase)
 	defer stopSurge()
 	g.Run(surge, d.deployment.Surge)
 	passed := g.Since()
-	d.say("Steady load again.")
+	d.sayf("Steady load again.")
 	<-done
 	return d.report(g, passed)
 }
--- a/io/zynode/node.go
+++ b/io/zynode/node.go
@@ -116,7 +116,7 @@
 // App returns the node as an fx application: its start hook brings the node up,
 // its stop hook ends it gracefully.
 func App(cfg Config, extra ...fx.Option) *fx.App {
-	options := []fx.Option{
+	options := append([]fx.Option{
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StartTimeout(time.Minute),
 		fx.StopTimeout(cfg.Settings.Shutdown.Grace + time.Minute),
@@ -125,8 +125,8 @@
 		fx.Invoke(func(lc fx.Lifecycle, n *Node) {
 			lc.Append(fx.Hook{OnStart: n.Start, OnStop: n.Stop})
 		}),
-	}
-	return fx.New(append(options, extra...)...)
+	}, extra...)
+	return fx.New(options...)
 }
 
 // New makes a node and opens its ports.
