zinniayoke: prove the promises of the request path by stateful fuzzing

Cause: nothing yet showed that bookings run at most once under faults. The test lets random sends, crashes, planned stops, freezes, partitions, lost, late, doubled and crossed messages loose on real nodes over fake wires, in virtual time, and compares with a table of runs. Found: recovery of slots waited on a mutex without heeding deadlines; it waits on a channel with the caller's context now.

--- a/core/zyhome/home.go
+++ b/core/zyhome/home.go
@@ -65,10 +65,11 @@
 type Home struct {
 	cfg Config
 
-	mu      sync.Mutex
-	joined  map[zinniayoke.Key]*shared
-	recover sync.Mutex
-	active  sync.WaitGroup
+	mu     sync.Mutex
+	joined map[zinniayoke.Key]*shared
+	// turn holds a token while nobody recovers slots.
+	turn   chan struct{}
+	active sync.WaitGroup
 }
 
 // shared is a run that several sends of its key wait for.
@@ -79,7 +80,9 @@
 
 // New returns a home.
 func New(cfg Config) *Home {
-	return &Home{cfg: cfg, joined: make(map[zinniayoke.Key]*shared)}
+	h := &Home{cfg: cfg, joined: make(map[zinniayoke.Key]*shared), turn: make(chan struct{}, 1)}
+	h.turn <- struct{}{}
+	return h
 }
 
 // Run answers a request with a key, running it at most once. The reply names
@@ -242,8 +245,12 @@
 // Recover takes over all slots that belong to this node and are not open here.
 // The error is a *RecoveryError.
 func (h *Home) Recover(ctx context.Context) error {
-	h.recover.Lock()
-	defer h.recover.Unlock()
+	select {
+	case <-h.turn:
+	case <-ctx.Done():
+		return &RecoveryError{Problem: "out of time", Err: ctx.Err()}
+	}
+	defer func() { h.turn <- struct{}{} }()
 	slots := h.cfg.Keeper.Closed(h.owned())
 	if len(slots) == 0 {
 		return nil
--- /dev/null
+++ b/path_test.go
@@ -0,0 +1,563 @@
+package zinniayoke_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"slices"
+	"sync"
+	"time"
+
+	"zinniayoke"
+	"zinniayoke/core/zyattempt"
+	"zinniayoke/core/zybundle"
+	"zinniayoke/core/zyclaim"
+	"zinniayoke/core/zydoor"
+	"zinniayoke/core/zyegress"
+	"zinniayoke/core/zyentry"
+	"zinniayoke/core/zyfence"
+	"zinniayoke/core/zyhome"
+	"zinniayoke/core/zyingress"
+	"zinniayoke/core/zyparent"
+	"zinniayoke/core/zypick"
+	"zinniayoke/core/zyrank"
+	"zinniayoke/core/zysuspect"
+	"zinniayoke/core/zytimer"
+)
+
+const pathBundle = `
+[bundle]
+version = 1
+approvals = 1
+defaultHome = d0
+anonymous = true
+keyWindow = 10m
+[domain d0]
+region = r
+[domain d1]
+region = r
+[approver a]
+publicKey = 3515fcee906e67a1451b29a21d7dff3b0c6ddc7370c14161bb0f3ce8c4ac0354
+[approver b]
+publicKey = f9e1b5947ee20739aff51bc569ecae4a0435f8479693967322cc67273bd9aa60
+[class low]
+importance = 10
+[class high]
+importance = 20
+[service front]
+[service back]
+[route front/order]
+service = front
+method = POST
+path = /order
+class = high
+attempts = 3
+calls = 1
+retryBudget = 100%
+neverRepeat = true
+timeout = 8s
+[route front/look]
+service = front
+method = GET
+path = /look
+class = low
+attempts = 3
+calls = 1
+retryBudget = 100%
+timeout = 8s
+[route back/book]
+service = back
+method = POST
+path = /book
+class = high
+attempts = 3
+retryBudget = 100%
+neverRepeat = true
+timeout = 6s
+`
+
+// Mutations that the checks have to catch.
+type mutation int
+
+const (
+	noMutation mutation = iota
+	// fenceOff answers "never seen" without fencing the attempt.
+	fenceOff
+	// epochOff lets every grant count as the newest.
+	epochOff
+	// splitOff gives each attempt all the tokens.
+	splitOff
+	// checkOff makes crossed answers look right.
+	checkOff
+)
+
+// faults says how the wires misbehave, as chances from 0 to 1.
+type faults struct {
+	loseRequest float64
+	loseReply   float64
+	late        float64
+	duplicate   float64
+	cross       float64
+	crashWorker float64
+}
+
+var (
+	errSilent      = errors.New("the connection went silent")
+	errUnreachable = errors.New("the host is out of reach")
+	errCrashed     = errors.New("the worker crashed")
+)
+
+const (
+	// keyWindow is shorter than the deadlines, so that a keeper can wake up
+	// after the window with a request that is still wanted.
+	keyWindow = 4 * time.Second
+	mostSends = 3
+
+	silence  = 1 * time.Second
+	lateness = 3 * time.Second
+)
+
+// world is a handful of hosts whose nodes are real and whose wires and workers
+// are fakes.
+type world struct {
+	rules    *zybundle.Bundle
+	timer    *zytimer.Service
+	mutation mutation
+
+	mu     sync.Mutex
+	random *rand.Rand
+	faults faults
+	hosts  []*host
+	gone   map[zinniayoke.NodeID]time.Time
+	serial int
+	oracle oracle
+	last   *zinniayoke.Reply
+	active sync.WaitGroup
+}
+
+// host is one host with its node and worker.
+type host struct {
+	world    *world
+	id       zinniayoke.NodeID
+	service  zinniayoke.Service
+	place    zinniayoke.Place
+	side     int
+	dead     bool
+	leaving  bool
+	paused   chan struct{}
+	receiver *zyingress.Receiver
+	home     *zyhome.Home
+	entry    *zyentry.Entry
+	memory   zyhome.Answerer
+}
+
+// oracle is the simple truth that the nodes are compared with.
+type oracle struct {
+	runs map[string]int
+	// ran is when each key ran last.
+	ran      map[string]time.Time
+	doubled  []string
+	byReq    map[zinniayoke.RequestID]int
+	sends    map[zinniayoke.RequestID]int
+	problems []string
+	faults   int
+}
+
+// run notes that a worker runs a key. A key may run again only after the window
+// in which it is remembered.
+func (o *oracle) run(key string) {
+	last, again := o.ran[key]
+	if again && time.Since(last) < keyWindow {
+		o.doubled = append(o.doubled, fmt.Sprintf("key %q ran again after %s", key, time.Since(last)))
+	}
+	o.runs[key]++
+	o.ran[key] = time.Now()
+}
+
+func newWorld(seed uint64, m mutation) *world {
+	rules, err := zybundle.Parse("path", []byte(pathBundle))
+	if err != nil {
+		panic(err)
+	}
+	rules.KeyWindow = keyWindow
+	w := &world{
+		rules: rules, timer: zytimer.New(), mutation: m, random: rand.New(rand.NewPCG(seed, 1)),
+		gone: make(map[zinniayoke.NodeID]time.Time),
+		oracle: oracle{
+			runs: make(map[string]int), ran: make(map[string]time.Time), byReq: make(map[zinniayoke.RequestID]int), sends: make(map[zinniayoke.RequestID]int),
+		},
+	}
+	for i, service := range []zinniayoke.Service{"front", "front", "back", "back", "front", "back"} {
+		w.add(service, zinniayoke.Domain(fmt.Sprintf("d%d", i%2)))
+	}
+	return w
+}
+
+func (w *world) chance(p float64) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	hit := w.random.Float64() < p
+	if hit {
+		w.oracle.faults++
+	}
+	return hit
+}
+
+func (w *world) add(service zinniayoke.Service, domain zinniayoke.Domain) *host {
+	w.mu.Lock()
+	w.serial++
+	h := &host{
+		world: w, service: service, place: zinniayoke.Place{Domain: domain, Region: "r"},
+		id: zinniayoke.NodeID(fmt.Sprintf("%s-%s/%04d", domain, service, w.serial)),
+	}
+	w.mu.Unlock()
+	h.build()
+	w.mu.Lock()
+	w.hosts = append(w.hosts, h)
+	w.mu.Unlock()
+	return h
+}
+
+type nopMeter struct{}
+
+func (nopMeter) Call(zinniayoke.CallSample)       {}
+func (nopMeter) Attempt(zinniayoke.AttemptSample) {}
+func (nopMeter) Sent(zinniayoke.Service)          {}
+func (nopMeter) Mismatch()                        {}
+
+func (h *host) build() {
+	w := h.world
+	rules := func() *zybundle.Bundle { return w.rules }
+	grants := zyclaim.NewGrants(zyclaim.GrantsConfig{Node: h.id, Most: 10000, Window: w.rules.KeyWindow})
+	keeper := zyclaim.NewKeeper(zyclaim.KeeperConfig{Node: h.id, Most: 10000, Window: w.rules.KeyWindow})
+	suspects := zysuspect.New(zysuspect.Config{Most: 100})
+	parents := &zyparent.Table{}
+	door := zydoor.New(zydoor.Config{})
+	h.receiver = zyingress.New(zyingress.Config{
+		Node: h.id, Rules: rules, Grants: grants, Suspects: suspects, Parents: parents, Timer: w.timer, Meter: nopMeter{},
+		Fence: zyfence.New(zyfence.Config{Most: 10000, MostBytes: zinniayoke.MiB, Keep: time.Minute}),
+	})
+	h.announce()
+	sender := zyegress.New(zyegress.Config{
+		Peers: h, Roster: h, Door: door, Budgets: zyattempt.NewBudgets(), Suspects: suspects, Meter: nopMeter{}, Rules: rules,
+		Picker: zypick.New(zypick.Config{Place: h.place, Roster: h, Random: rand.New(rand.NewPCG(uint64(len(w.hosts)), 2))}),
+	})
+	h.memory = zyhome.Answerer{Grants: grants, Keeper: keeper}
+	h.home = zyhome.New(zyhome.Config{
+		Node: h.id, Domain: h.place.Domain, Keeper: keeper, Sender: sender, Rules: rules, Elders: elders{h}, Roll: h,
+	})
+	h.entry = zyentry.New(zyentry.Config{
+		Rules: rules, Parents: parents, Door: door, Sender: sender, Keepers: keepers{h}, Suspects: suspects,
+		Shares: zyrank.NewShares(), Meter: nopMeter{},
+	})
+}
+
+func (h *host) announce() {
+	_, err := h.receiver.Announce(zyingress.Announcement{
+		Service: h.service, Address: "x", Slots: 4, Connections: 10, State: zinniayoke.WorkerServing, Incarnation: 1,
+	}, func(zyingress.Announcement) zinniayoke.Worker { return worker{h} })
+	if err != nil {
+		panic(err)
+	}
+}
+
+// announceAll stands for the announcements that workers repeat each second.
+func (w *world) announceAll(time.Time) {
+	for _, h := range w.list() {
+		h.announce()
+		h.home.Retain()
+	}
+}
+
+func (w *world) list() []*host {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.hosts)
+}
+
+func (w *world) find(id zinniayoke.NodeID) *host {
+	for _, h := range w.list() {
+		if h.id == id {
+			return h
+		}
+	}
+	return nil
+}
+
+// sees reports whether h believes that other is there. Membership is a fake
+// that knows crashes and partitions at once, and never forgets a lost node.
+func (h *host) sees(other *host) bool {
+	h.world.mu.Lock()
+	defer h.world.mu.Unlock()
+	return !other.dead && other.side == h.side
+}
+
+// Upstreams implements zinniayoke.Roster.
+func (h *host) Upstreams(s zinniayoke.Service) []zinniayoke.Upstream {
+	var list []zinniayoke.Upstream
+	for _, other := range h.world.list() {
+		if other.service == s && h.sees(other) && !other.isLeaving() {
+			list = append(list, other.upstream())
+		}
+	}
+	return list
+}
+
+func (h *host) isLeaving() bool {
+	h.world.mu.Lock()
+	defer h.world.mu.Unlock()
+	return h.leaving
+}
+
+func (h *host) upstream() zinniayoke.Upstream {
+	return zinniayoke.Upstream{Node: h.id, Place: h.place, Service: h.service, Slots: 4, State: zinniayoke.WorkerServing}
+}
+
+// Keepers implements zyhome.Roll.
+func (h *host) Keepers(d zinniayoke.Domain) []zinniayoke.NodeID {
+	var list []zinniayoke.NodeID
+	for _, other := range h.world.list() {
+		if other.place.Domain == d && h.sees(other) && !other.isLeaving() {
+			list = append(list, other.id)
+		}
+	}
+	return list
+}
+
+// Memories implements zyhome.Roll.
+func (h *host) Memories() ([]zinniayoke.NodeID, map[zinniayoke.NodeID]time.Time) {
+	var there []zinniayoke.NodeID
+	lost := make(map[zinniayoke.NodeID]time.Time)
+	for _, other := range h.world.list() {
+		if h.sees(other) {
+			there = append(there, other.id)
+		} else {
+			lost[other.id] = time.Now()
+		}
+	}
+	h.world.mu.Lock()
+	defer h.world.mu.Unlock()
+	for id, at := range h.world.gone {
+		lost[id] = at
+	}
+	return there, lost
+}
+
+// reach waits out a pause of either side and says whether a message passes.
+func (h *host) reach(ctx context.Context, to *host) error {
+	if to == nil {
+		return errUnreachable
+	}
+	for _, end := range []*host{h, to} {
+		h.world.mu.Lock()
+		paused := end.paused
+		h.world.mu.Unlock()
+		if paused == nil {
+			continue
+		}
+		select {
+		case <-paused:
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+	h.world.mu.Lock()
+	defer h.world.mu.Unlock()
+	if to.dead || h.dead || to.side != h.side {
+		return errUnreachable
+	}
+	return nil
+}
+
+func quiet(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// Run implements zinniayoke.Peers over a wire with faults.
+func (h *host) Run(ctx context.Context, to zinniayoke.Upstream, a *zinniayoke.Attempt) (*zinniayoke.Reply, error) {
+	w := h.world
+	w.mu.Lock()
+	w.oracle.sends[a.Request]++
+	f := w.faults
+	w.mu.Unlock()
+	target := w.find(to.Node)
+	if err := h.reach(ctx, target); err != nil {
+		return nil, err
+	}
+	sent := *a
+	if w.mutation == epochOff {
+		sent.Grant.Epoch.Major = 1 << 40
+	}
+	if w.mutation == splitOff {
+		sent.Tokens = mostSends
+	}
+	if w.chance(f.loseRequest) {
+		quiet(ctx, silence)
+		return nil, errSilent
+	}
+	if target != h && w.chance(f.late) {
+		w.deliverLate(target, &sent)
+		quiet(ctx, silence)
+		return nil, errSilent
+	}
+	if target != h && w.chance(f.duplicate) {
+		w.deliverLate(target, &sent)
+	}
+	return h.deliver(ctx, target, &sent, f)
+}
+
+// deliverLate brings an attempt to the host after its sender has given it up.
+func (w *world) deliverLate(target *host, a *zinniayoke.Attempt) {
+	w.active.Add(1)
+	go func() {
+		defer w.active.Done()
+		time.Sleep(lateness)
+		if w.alive(target) {
+			target.receiver.Run(context.Background(), a)
+		}
+	}()
+}
+
+func (w *world) alive(h *host) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !h.dead
+}
+
+func (h *host) deliver(ctx context.Context, target *host, a *zinniayoke.Attempt, f faults) (*zinniayoke.Reply, error) {
+	w := h.world
+	replies := make(chan *zinniayoke.Reply, 1)
+	w.active.Add(1)
+	go func() {
+		defer w.active.Done()
+		replies <- target.receiver.Run(context.Background(), a)
+	}()
+	select {
+	case reply := <-replies:
+		if err := h.reach(ctx, target); err != nil || w.chance(f.loseReply) {
+			quiet(ctx, silence)
+			return nil, errSilent
+		}
+		return w.crossed(reply, a, f), nil
+	case <-ctx.Done():
+		return nil, context.Cause(ctx)
+	}
+}
+
+// crossed now and then hands out the reply of another attempt.
+func (w *world) crossed(reply *zinniayoke.Reply, a *zinniayoke.Attempt, f faults) *zinniayoke.Reply {
+	swap := w.chance(f.cross)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	other := w.last
+	w.last = reply
+	if !swap || other == nil {
+		return reply
+	}
+	crossed := *other
+	if w.mutation == checkOff {
+		crossed.Attempt, crossed.Request = a.ID, a.Request
+		if crossed.Answer != nil {
+			answer := *crossed.Answer
+			answer.Attempt, answer.Request = a.ID, a.Request
+			crossed.Answer = &answer
+		}
+	}
+	return &crossed
+}
+
+// Ask implements zinniayoke.Peers.
+func (h *host) Ask(ctx context.Context, to zinniayoke.Upstream, id zinniayoke.AttemptID) (*zinniayoke.AskReply, error) {
+	return elders{h}.Ask(ctx, to.Node, id)
+}
+
+// Cancel implements zinniayoke.Peers.
+func (h *host) Cancel(to zinniayoke.Upstream, id zinniayoke.AttemptID) {
+	if target := h.world.find(to.Node); target != nil && h.sees(target) {
+		target.receiver.Cancel(id)
+	}
+}
+
+// elders implements zyhome.Elders.
+type elders struct{ h *host }
+
+func (e elders) Recall(ctx context.Context, node zinniayoke.NodeID, slots []zinniayoke.Slot, epoch zinniayoke.Epoch) (*zyhome.Recall, error) {
+	target := e.h.world.find(node)
+	if err := e.h.reach(ctx, target); err != nil {
+		return nil, err
+	}
+	return target.memory.Recall(slots, epoch), nil
+}
+
+func (e elders) Ask(ctx context.Context, node zinniayoke.NodeID, id zinniayoke.AttemptID) (*zinniayoke.AskReply, error) {
+	target := e.h.world.find(node)
+	if err := e.h.reach(ctx, target); err != nil {
+		return nil, err
+	}
+	if e.h.world.mutation == fenceOff {
+		told, err := target.receiver.Ask(zinniayoke.AttemptID("probe " + string(id)))
+		return told, err
+	}
+	return target.receiver.Ask(id)
+}
+
+// keepers implements zyentry.Keepers.
+type keepers struct{ h *host }
+
+func (k keepers) Run(ctx context.Context, home zinniayoke.Domain, c *zinniayoke.Call) *zinniayoke.Reply {
+	for ctx.Err() == nil {
+		target := k.h.world.find(zyclaim.KeeperOf(zyclaim.SlotOf(home, c.Key), k.h.Keepers(home)))
+		if err := k.h.reach(ctx, target); err == nil {
+			reply := target.home.Run(ctx, c, k.h.world.rules.Routes[c.Route])
+			if err := k.h.reach(ctx, target); err == nil && reply.Reason != zinniayoke.ReasonStaleEpoch {
+				return reply
+			}
+		}
+		quiet(ctx, 100*time.Millisecond)
+	}
+	return &zinniayoke.Reply{Request: c.Request, Reason: zinniayoke.ReasonHomeUnreachable}
+}
+
+func (k keepers) Note(ctx context.Context, home zinniayoke.Domain, key zinniayoke.Key) bool {
+	target := k.h.world.find(zyclaim.KeeperOf(zyclaim.SlotOf(home, key), k.h.Keepers(home)))
+	return k.h.reach(ctx, target) == nil && target.home.Note(ctx, key)
+}
+
+// worker implements zinniayoke.Worker.
+type worker struct{ h *host }
+
+func (k worker) Probe(context.Context) error { return nil }
+
+func (k worker) Run(_ context.Context, call *zinniayoke.WorkerCall) (*zinniayoke.Answer, bool, error) {
+	a, w := call.Attempt, k.h.world
+	w.mu.Lock()
+	if a.Key != "" {
+		w.oracle.run(string(a.Key))
+	}
+	w.oracle.byReq[a.Request]++
+	f := w.faults
+	w.mu.Unlock()
+	if w.chance(f.crashWorker) {
+		return nil, true, errCrashed
+	}
+	time.Sleep(20 * time.Millisecond)
+	if a.Service == "front" {
+		result := k.h.entry.Handle(context.Background(), &zyentry.Inbound{
+			Context: call.Context, Service: "back", HTTP: request("POST", "/book"), Body: a.Body,
+		})
+		if result.Reply.Outcome != zinniayoke.OutcomeDone {
+			return &zinniayoke.Answer{Status: http.StatusBadGateway, Body: a.Body}, true, nil
+		}
+	}
+	return &zinniayoke.Answer{Status: http.StatusOK, Body: a.Body}, true, nil
+}
+
+func request(method, path string) *http.Request {
+	return &http.Request{Method: method, URL: &url.URL{Path: path}, Host: "x"}
+}
--- /dev/null
+++ b/promise_test.go
@@ -0,0 +1,263 @@
+package zinniayoke_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"zinniayoke"
+	"zinniayoke/core/zyclaim"
+	"zinniayoke/core/zyentry"
+)
+
+// The same seed in every run; the command line overrides it.
+func init() {
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
+
+// bubble hides the deadline of a test, which a synctest bubble does not have.
+type bubble struct {
+	rapid.TB
+}
+
+// send makes one call and checks what its caller is told against the oracle.
+func (w *world) send(at *host, key, path string) {
+	w.active.Add(1)
+	go func() {
+		defer w.active.Done()
+		method, body := "POST", key
+		if path == "/look" {
+			method, key = "GET", ""
+		}
+		result := at.entry.Handle(context.Background(), &zyentry.Inbound{
+			Claimed: "c", Key: key, Service: "front", HTTP: request(method, path), Body: []byte(body),
+		})
+		if !w.alive(at) {
+			return
+		}
+		w.judge(key, body, result)
+	}()
+}
+
+// judge compares one answer with the truth at that moment.
+func (w *world) judge(key, body string, result *zyentry.Result) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	reply := result.Reply
+	switch reply.Outcome {
+	case zinniayoke.OutcomeDone:
+		if reply.Answer == nil || string(reply.Answer.Body) != body {
+			w.problem("request %s got the answer of another: %+v", result.Request, reply.Answer)
+		}
+	case zinniayoke.OutcomeNotRun:
+		if n := w.oracle.byReq[result.Request]; n > 0 {
+			w.problem("request %s was told notRun and ran %d times", result.Request, n)
+		}
+		ran, ok := w.oracle.ran["c\x00front/order\x00"+key]
+		if key != "" && ok && time.Since(ran) < keyWindow {
+			w.problem("key %s was told notRun and had run %s before", key, time.Since(ran))
+		}
+	case zinniayoke.OutcomeUnknown:
+	}
+}
+
+func (w *world) problem(format string, args ...any) {
+	w.oracle.problems = append(w.oracle.problems, fmt.Sprintf(format, args...))
+}
+
+// check returns what is broken now.
+func (w *world) check() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	problems := append(w.oracle.problems, w.oracle.doubled...)
+	for request, n := range w.oracle.sends {
+		if n > mostSends {
+			problems = append(problems, fmt.Sprintf("request %s caused %d sends; %d are allowed", request, n, mostSends))
+		}
+	}
+	return strings.Join(problems, "\n")
+}
+
+// crash ends a host without warning; another takes its place.
+func (w *world) crash(h *host) {
+	w.mu.Lock()
+	h.dead = true
+	w.oracle.faults++
+	w.gone[h.id] = time.Now()
+	w.hosts = remove(w.hosts, h)
+	w.mu.Unlock()
+	w.add(h.service, h.place.Domain)
+}
+
+func remove(list []*host, h *host) []*host {
+	var rest []*host
+	for _, other := range list {
+		if other != h {
+			rest = append(rest, other)
+		}
+	}
+	return rest
+}
+
+// stop ends a host as planned: it finishes its work and hands its keys over.
+func (w *world) stop(t rapid.TB, h *host) {
+	w.mu.Lock()
+	h.leaving = true
+	w.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	if err := h.home.Drain(ctx); err != nil {
+		t.Fatalf("runs at the keeper were cut: %v", err)
+	}
+	if err := h.receiver.Drain(ctx); err != nil {
+		t.Fatalf("calls were cut: %v", err)
+	}
+	heir := w.find(zyclaim.HeirOf(h.id, h.Keepers(h.place.Domain)))
+	if heir == nil || !h.sees(heir) {
+		w.crash(h)
+		return
+	}
+	held, promises := h.memory.Grants.Export(time.Now())
+	heir.memory.Grants.Inherit(time.Now(), held, promises)
+	w.mu.Lock()
+	h.dead = true
+	w.hosts = remove(w.hosts, h)
+	w.mu.Unlock()
+	w.add(h.service, h.place.Domain)
+}
+
+func (w *world) part(apart bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, h := range w.hosts {
+		h.side = 0
+		if apart && h.place.Domain == "d1" {
+			h.side = 1
+		}
+	}
+}
+
+// pausedSide is where the others see a paused host: out of reach.
+const pausedSide = 9
+
+// pause freezes a host's traffic; the others come to believe that it is lost.
+func (w *world) pause(h *host, d time.Duration) {
+	resumed := make(chan struct{})
+	w.mu.Lock()
+	w.oracle.faults++
+	h.paused = resumed
+	h.side = pausedSide
+	w.mu.Unlock()
+	w.active.Add(1)
+	go func() {
+		defer w.active.Done()
+		time.Sleep(d)
+		w.mu.Lock()
+		h.paused = nil
+		h.side = 0
+		w.mu.Unlock()
+		close(resumed)
+	}()
+}
+
+// end waits until nothing is under way any more.
+func (w *world) end() {
+	w.part(false)
+	w.active.Wait()
+	for _, h := range w.list() {
+		h.receiver.Close()
+	}
+	w.timer.Stop()
+}
+
+// play runs random operations in a world and returns what was broken.
+func play(t *rapid.T, m mutation, steps, injected *int) string {
+	w := newWorld(rapid.Uint64().Draw(t, "world"), m)
+	announcing := w.timer.Every(time.Second, w.announceAll)
+	defer announcing.Cancel()
+	defer w.end()
+	anyHost := func() *host {
+		hosts := w.list()
+		return hosts[rapid.IntRange(0, len(hosts)-1).Draw(t, "host")]
+	}
+	anyKey := func() string { return fmt.Sprintf("k%d", rapid.IntRange(0, 5).Draw(t, "key")) }
+	rate := rapid.SampledFrom([]float64{0, 0, 0.1, 0.3})
+	t.Repeat(map[string]func(*rapid.T){
+		"order": func(t *rapid.T) { w.send(anyHost(), anyKey(), "/order") },
+		"again": func(t *rapid.T) {
+			key := anyKey()
+			w.send(anyHost(), key, "/order")
+			w.send(anyHost(), key, "/order")
+		},
+		"look": func(t *rapid.T) { w.send(anyHost(), anyKey(), "/look") },
+		"wait": func(t *rapid.T) { time.Sleep(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond) },
+		"wires": func(t *rapid.T) {
+			f := faults{
+				loseRequest: rate.Draw(t, "loseRequest"), loseReply: rate.Draw(t, "loseReply"), late: rate.Draw(t, "late"),
+				duplicate: rate.Draw(t, "duplicate"), cross: rate.Draw(t, "cross"), crashWorker: rate.Draw(t, "crashWorker"),
+			}
+			w.mu.Lock()
+			w.faults = f
+			w.mu.Unlock()
+		},
+		"crash":  func(t *rapid.T) { w.crash(anyHost()) },
+		"stop":   func(t *rapid.T) { w.stop(t, anyHost()) },
+		"part":   func(t *rapid.T) { w.part(true) },
+		"heal":   func(t *rapid.T) { w.part(false) },
+		"freeze": func(t *rapid.T) { w.pause(anyHost(), time.Duration(rapid.IntRange(1, 8).Draw(t, "s"))*time.Second) },
+		"": func(*rapid.T) {
+			*steps++
+			synctest.Wait()
+		},
+	})
+	w.end()
+	*injected += w.oracle.faults
+	return w.check()
+}
+
+// TestPromises lets random operations and faults loose on the request path and
+// compares what ran and what callers were told with a simple oracle.
+func TestPromises(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		steps, injected := 0, 0
+		rapid.Check(bubble{t}, func(t *rapid.T) {
+			if broken := play(t, noMutation, &steps, &injected); broken != "" {
+				t.Fatal(broken)
+			}
+		})
+		t.Logf("%d steps, %d faults", steps, injected)
+	})
+}
+
+// TestMutationsAreCaught shows that the checks can fail: with one safeguard
+// taken out, random operations break a promise within a bounded number of runs.
+func TestMutationsAreCaught(t *testing.T) {
+	const mostRuns = 400
+	for name, m := range map[string]mutation{
+		"fence off": fenceOff, "epoch off": epochOff, "token split off": splitOff, "answer check off": checkOff,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				steps, injected := 0, 0
+				game := rapid.Custom(func(t *rapid.T) string { return play(t, m, &steps, &injected) })
+				for run := range mostRuns {
+					if broken := game.Example(run); broken != "" {
+						t.Logf("caught in run %d after %d steps: %s", run, steps, broken)
+						return
+					}
+				}
+				t.Fatalf("not caught in %d steps with %d faults", steps, injected)
+			})
+		})
+	}
+}
