zyhome, zymember: answer when the deadline passes while a key runs

Membership had no test; its first runs showed that a node which was out of reach while another joined hears of it only by comparing lists, so lists are compared every 10 s now instead of 30 s, with 64 sums instead of 256.

--- /dev/null
+++ b/core/zyagreement/state_test.go
@@ -0,0 +1,273 @@
+package zyagreement_test
+
+import (
+	"crypto/ed25519"
+	"crypto/sha256"
+	"errors"
+	"flag"
+	"fmt"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"zinniayoke"
+	"zinniayoke/core/zyagreement"
+	"zinniayoke/core/zybundle"
+)
+
+func init() {
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
+
+var names = []string{"alice", "bob", "carol", "mallory"}
+
+func keyOf(name string) ed25519.PrivateKey {
+	seed := sha256.Sum256([]byte(name))
+	return ed25519.NewKeyFromSeed(seed[:])
+}
+
+func publicOf(name string) ed25519.PublicKey {
+	public, _ := keyOf(name).Public().(ed25519.PublicKey)
+	return public
+}
+
+func genesis() zyagreement.Authority {
+	return zyagreement.Authority{Approvals: 1, Approvers: map[string]ed25519.PublicKey{
+		"alice": publicOf("alice"), "bob": publicOf("bob"), "carol": publicOf("carol"),
+	}}
+}
+
+// text returns a bundle of the version whose approvers are named.
+func text(version, salt int, approvers ...string) []byte {
+	var b strings.Builder
+	fmt.Fprintf(&b, "# %d\n[bundle]\nversion = %d\napprovals = 1\ndefaultHome = d\n[domain d]\nregion = r\n", salt, version)
+	for _, name := range approvers {
+		fmt.Fprintf(&b, "[approver %s]\npublicKey = %x\n", name, publicOf(name))
+	}
+	return []byte(b.String())
+}
+
+func sign(e zyagreement.Entry, by string) []byte {
+	e.Author = by
+	signed, err := e.Sign(keyOf(by))
+	if err != nil {
+		panic(err)
+	}
+	body, err := signed.Encode()
+	if err != nil {
+		panic(err)
+	}
+	return body
+}
+
+func proposal(raw []byte, version int, by string) []byte {
+	return sign(zyagreement.Entry{Kind: zyagreement.KindProposal, Hash: zybundle.HashOf(raw), Ver: zinniayoke.Version(version), Text: raw}, by)
+}
+
+func signOff(raw []byte, version int, by string) []byte {
+	return sign(zyagreement.Entry{Kind: zyagreement.KindSignOff, Hash: zybundle.HashOf(raw), Ver: zinniayoke.Version(version)}, by)
+}
+
+func rollOut(raw []byte, version int, parent zybundle.Hash, by string) []byte {
+	return sign(zyagreement.Entry{Kind: zyagreement.KindRollOut, Hash: zybundle.HashOf(raw), Ver: zinniayoke.Version(version), Parent: parent}, by)
+}
+
+func apply(s *zyagreement.State, bodies ...[]byte) error {
+	var last error
+	for _, body := range bodies {
+		_, last = s.Apply(zinniayoke.Record{Body: body})
+	}
+	return last
+}
+
+func TestRollOutNeedsSignOff(t *testing.T) {
+	v1 := text(1, 0, "alice", "bob")
+	for _, c := range []struct {
+		name    string
+		records [][]byte
+		version zinniayoke.Version
+	}{
+		{"signed off by another", [][]byte{proposal(v1, 1, "alice"), signOff(v1, 1, "bob"), rollOut(v1, 1, "", "alice")}, 1},
+		{"not signed off", [][]byte{proposal(v1, 1, "alice"), rollOut(v1, 1, "", "alice")}, 0},
+		{"signed off by its proposer", [][]byte{proposal(v1, 1, "alice"), signOff(v1, 1, "alice"), rollOut(v1, 1, "", "alice")}, 0},
+		{"signed off by a stranger", [][]byte{proposal(v1, 1, "alice"), signOff(v1, 1, "mallory"), rollOut(v1, 1, "", "alice")}, 0},
+		{"proposed by a stranger", [][]byte{proposal(v1, 1, "mallory"), signOff(v1, 1, "bob"), rollOut(v1, 1, "", "alice")}, 0},
+		{"rolled out by a stranger", [][]byte{proposal(v1, 1, "alice"), signOff(v1, 1, "bob"), rollOut(v1, 1, "", "mallory")}, 0},
+		{"wrong parent", [][]byte{proposal(v1, 1, "alice"), signOff(v1, 1, "bob"), rollOut(v1, 1, "x", "alice")}, 0},
+		{"sign-off before the proposal", [][]byte{signOff(v1, 1, "bob"), proposal(v1, 1, "alice"), rollOut(v1, 1, "", "alice")}, 0},
+		{"garbage between", [][]byte{[]byte("{"), proposal(v1, 1, "alice"), nil, signOff(v1, 1, "bob"), []byte("[]"), rollOut(v1, 1, "", "bob")}, 1},
+	} {
+		s := zyagreement.NewState(genesis())
+		_ = apply(s, c.records...)
+		if s.Version() != c.version {
+			t.Errorf("%s: version %d in force, want %d", c.name, s.Version(), c.version)
+		}
+	}
+}
+
+func TestRacingOperatorsHaveOneWinner(t *testing.T) {
+	v1, v2a, v2b := text(1, 0, "alice", "bob"), text(2, 1, "alice", "bob"), text(2, 2, "alice", "bob")
+	h1 := zybundle.HashOf(v1)
+	s := zyagreement.NewState(genesis())
+	if err := apply(s, proposal(v1, 1, "alice"), signOff(v1, 1, "bob"), rollOut(v1, 1, "", "alice")); err != nil {
+		t.Fatal(err)
+	}
+	if err := apply(s, proposal(v2a, 2, "alice"), proposal(v2b, 2, "bob"), signOff(v2a, 2, "bob"), signOff(v2b, 2, "alice"),
+		rollOut(v2b, 2, h1, "bob")); err != nil {
+		t.Fatal(err)
+	}
+	err := apply(s, rollOut(v2a, 2, h1, "alice"))
+	var lost *zyagreement.LostRaceError
+	if !errors.As(err, &lost) || lost.Winner != zybundle.HashOf(v2b) {
+		t.Fatalf("the loser was told %v", err)
+	}
+	if s.Hash() != zybundle.HashOf(v2b) {
+		t.Fatalf("in force: %s", s.Hash())
+	}
+}
+
+func TestCheckpointStandsForExpiredRecords(t *testing.T) {
+	v1, v2, v3 := text(1, 0, "alice", "bob"), text(2, 0, "bob", "mallory"), text(3, 0, "bob", "mallory")
+	s := zyagreement.NewState(genesis())
+	err := apply(s, proposal(v1, 1, "alice"), signOff(v1, 1, "bob"), rollOut(v1, 1, "", "alice"),
+		proposal(v2, 2, "alice"), signOff(v2, 2, "bob"), rollOut(v2, 2, zybundle.HashOf(v1), "alice"),
+		proposal(v3, 3, "mallory"), signOff(v3, 3, "bob"), rollOut(v3, 3, zybundle.HashOf(v2), "mallory"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	fresh := zyagreement.NewState(genesis())
+	checkpoint := zyagreement.Entry{Kind: zyagreement.KindCheckpoint, Lineage: s.Lineage()}
+	body, err := checkpoint.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := apply(fresh, body); err != nil {
+		t.Fatal(err)
+	}
+	if fresh.Hash() != s.Hash() {
+		t.Fatalf("version %d from the checkpoint, want %d", fresh.Version(), s.Version())
+	}
+	forged := s.Lineage()[2:]
+	if changed, err := zyagreement.NewState(genesis()).Adopt(forged); changed || err == nil {
+		t.Fatal("a lineage without the change of approvers was trusted")
+	}
+	if changed, err := fresh.Adopt(s.Lineage()[:1]); changed || err != nil {
+		t.Fatalf("stepped back: %v, %v", changed, err)
+	}
+}
+
+func TestPatchCarriesTheWholeText(t *testing.T) {
+	v1, v2 := text(1, 0, "alice", "bob"), text(2, 0, "alice", "bob")
+	s := zyagreement.NewState(genesis())
+	_ = apply(s, proposal(v1, 1, "alice"), signOff(v1, 1, "bob"), rollOut(v1, 1, "", "alice"))
+	base := s.InForce()
+	_ = apply(s, proposal(v2, 2, "alice"), signOff(v2, 2, "bob"), rollOut(v2, 2, s.Hash(), "alice"))
+	patch := zyagreement.PatchFrom(base, s.Lineage())
+	if patch == nil || len(patch.Middle) > 4 {
+		t.Fatalf("patch %+v", patch)
+	}
+	lineage, err := patch.Apply(base)
+	if err != nil {
+		t.Fatal(err)
+	}
+	other := zyagreement.NewState(genesis())
+	if changed, err := other.Adopt(lineage); !changed || err != nil || other.Hash() != s.Hash() {
+		t.Fatalf("adopted %v, %v", changed, err)
+	}
+	if _, err := patch.Apply(s.InForce()); err == nil {
+		t.Fatal("a patch of another bundle was applied")
+	}
+}
+
+// TestAgreement lets operators race over a log that repeats and garbles
+// records, and compares readers that start anywhere.
+func TestAgreement(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var log [][]byte
+		s := zyagreement.NewState(genesis())
+		add := func(t *rapid.T, body []byte) {
+			before := s.Version()
+			_, _ = s.Apply(zinniayoke.Record{Body: body})
+			if s.Version() < before {
+				t.Fatal("a reader stepped back")
+			}
+			log = append(log, body)
+		}
+		consented := make(map[zybundle.Hash]bool)
+		proposed := map[zybundle.Hash]string{}
+		texts := map[zybundle.Hash][]byte{}
+		var order []zybundle.Hash
+		anyName := rapid.SampledFrom(names)
+		anyHash := func(t *rapid.T) zybundle.Hash {
+			if len(order) == 0 {
+				t.Skip("nothing is proposed")
+			}
+			return rapid.SampledFrom(order).Draw(t, "hash")
+		}
+		versionOf := func(h zybundle.Hash) int {
+			b, err := zybundle.Parse("x", texts[h])
+			if err != nil {
+				t.Fatal(err)
+			}
+			return int(b.Version)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"propose": func(t *rapid.T) {
+				version := rapid.IntRange(1, 4).Draw(t, "version")
+				raw := text(version, rapid.IntRange(0, 2).Draw(t, "salt"), "alice", "bob", "carol")
+				h, by := zybundle.HashOf(raw), anyName.Draw(t, "by")
+				if _, ok := texts[h]; !ok {
+					order = append(order, h)
+				}
+				texts[h] = raw
+				if _, ok := proposed[h]; !ok && by != "mallory" {
+					proposed[h] = by
+				}
+				add(t, proposal(raw, version, by))
+			},
+			"sign": func(t *rapid.T) {
+				h, by := anyHash(t), anyName.Draw(t, "by")
+				if by != "mallory" && by != proposed[h] {
+					consented[h] = true
+				}
+				add(t, signOff(texts[h], versionOf(h), by))
+			},
+			"roll": func(t *rapid.T) {
+				h := anyHash(t)
+				add(t, rollOut(texts[h], versionOf(h), s.Hash(), anyName.Draw(t, "by")))
+			},
+			"repeat": func(t *rapid.T) {
+				if len(log) == 0 {
+					t.Skip("the log is empty")
+				}
+				add(t, rapid.SampledFrom(log).Draw(t, "record"))
+			},
+			"garbage": func(t *rapid.T) { add(t, rapid.SliceOf(rapid.Byte()).Draw(t, "bytes")) },
+			"checkpoint": func(t *rapid.T) {
+				body, err := (&zyagreement.Entry{Kind: zyagreement.KindCheckpoint, Lineage: s.Lineage()}).Encode()
+				if err != nil {
+					t.Fatal(err)
+				}
+				add(t, body)
+			},
+			"": func(t *rapid.T) {
+				if h := s.Hash(); h != "" && !consented[h] {
+					t.Fatalf("%s came into force without a sign-off", h)
+				}
+			},
+		})
+		again, late := zyagreement.NewState(genesis()), zyagreement.NewState(genesis())
+		_ = apply(again, log...)
+		if again.Hash() != s.Hash() {
+			t.Fatalf("a second reader has %s, want %s", again.Hash(), s.Hash())
+		}
+		if _, err := late.Adopt(s.Lineage()); len(s.Lineage()) > 0 && (err != nil || late.Hash() != s.Hash()) {
+			t.Fatalf("a node that reads the proof has %s, want %s: %v", late.Hash(), s.Hash(), err)
+		}
+	})
+}
--- a/core/zyhome/home.go
+++ b/core/zyhome/home.go
@@ -190,7 +190,10 @@
 		return uncertain(c, zinniayoke.ReasonKeyUncertain, "the answer to this key is lost"), false
 	}
 	if told.Fate == zinniayoke.FateRunning {
-		return nil, sleep(ctx, recallPause)
+		if sleep(ctx, recallPause) {
+			return nil, true
+		}
+		return uncertain(c, zinniayoke.ReasonDeadline, "the deadline passed while the request ran"), false
 	}
 	if told.Fate == zinniayoke.FateAnswered && told.Reply.Outcome == zinniayoke.OutcomeUnknown {
 		return uncertain(c, told.Reply.Reason, "the answer to this key is lost"), false
--- a/core/zymember/table.go
+++ b/core/zymember/table.go
@@ -30,7 +30,7 @@
 	retransmitFactor = 3
 	ackShare         = 3
 	deadProbeEvery   = 5
-	buckets          = 256
+	buckets          = 64
 )
 
 // Member is what a table knows about one node.
@@ -455,3 +455,18 @@
 	}
 	return out
 }
+
+// Forget drops the news that wait to be told, as a list that was copied whole
+// from another node needs no telling.
+func (t *Table) Forget() {
+	t.news = nil
+}
+
+// Find returns what is known of a node.
+func (t *Table) Find(id zinniayoke.NodeID) (Member, bool) {
+	m, ok := t.members[id]
+	if !ok {
+		return Member{}, false
+	}
+	return *m, true
+}
--- a/io/zynode/node.go
+++ b/io/zynode/node.go
@@ -54,7 +54,7 @@
 	usualPeriod     = 1 * time.Second
 	rememberDead    = 1 * time.Hour
 	followPeriod    = 500 * time.Millisecond
-	syncPeriod      = 30 * time.Second
+	syncPeriod      = 10 * time.Second
 	upkeepPeriod    = 1 * time.Second
 	joinTimeout     = 1 * time.Second
 	mostAttempts    = 200_000
