zyadmission: learn the limit from trials, not from the rate of completions

Cause: 'experiment overload' (new) showed that the full policy served less than a fixed limit: the hill climb on completions a window is a random walk, as a window of 40 calls has 16% noise and a step is 5%. Change: believe the announced slots; raise or lower the limit only in trials that watch the mean time of calls, undo those that show nothing, and wait longer.

--- a/cmd/zinniayoke/experiment.go
+++ b/cmd/zinniayoke/experiment.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -18,6 +19,16 @@
 		Name:  "experiment",
 		Usage: "measure the project's decisions in virtual time",
 		Commands: []*cli.Command{
+			{
+				Name: "overload", Usage: "the overload policy against simpler ones", Action: runOverload,
+				Flags: []cli.Flag{
+					seed,
+					&cli.StringFlag{Name: "only", Usage: "run only scenarios whose name contains this"},
+					&cli.StringSliceFlag{Name: "policy", Value: []string{"passThrough", "fixedLimit", "full"}, Usage: "policies to compare"},
+					&cli.IntFlag{Name: "depth", Usage: "run only chains of this depth"},
+					&cli.BoolFlag{Name: "json", Usage: "print the results as JSON"},
+				},
+			},
 			{
 				Name: "members", Usage: "membership as the number of nodes grows", Action: runMembers,
 				Flags: []cli.Flag{
@@ -44,3 +55,27 @@
 	}
 	return nil
 }
+
+func runOverload(_ context.Context, c *cli.Command) error {
+	var policies []zyexperiment.Policy
+	for _, name := range c.StringSlice("policy") {
+		p, err := zyexperiment.PolicyString(name)
+		if err != nil {
+			return fmt.Errorf("policy: accepted: %v: %w", zyexperiment.PolicyStrings(), err)
+		}
+		policies = append(policies, p)
+	}
+	results := zyexperiment.RunAll(zyexperiment.Scenarios(c.Uint64("seed")), policies, func(s zyexperiment.Scenario) bool {
+		return strings.Contains(s.Name, c.String("only")) && (c.Int("depth") == 0 || s.Depth == c.Int("depth"))
+	})
+	if !c.Bool("json") {
+		zyexperiment.PrintTable(os.Stdout, results)
+		return nil
+	}
+	encoder := json.NewEncoder(os.Stdout)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(results); err != nil {
+		return fmt.Errorf("results: %w", err)
+	}
+	return nil
+}
--- a/core/zyadmission/gate.go
+++ b/core/zyadmission/gate.go
@@ -16,6 +16,7 @@
 	Depth    int
 	Deadline time.Time
 	arrived  time.Time
+	started  time.Time
 	sequence uint64
 }
 
@@ -164,7 +165,7 @@
 	if !ok {
 		return res
 	}
-	g.limit.Finish(now, len(g.running), len(g.waiting) > 0)
+	g.limit.Finish(now, item.started, took, len(g.waiting) > 0)
 	delete(g.running, id)
 	g.learn(item.Route, took)
 	g.start(now, &res)
@@ -231,6 +232,7 @@
 			continue
 		}
 		g.threshold.Wait(now.Sub(item.arrived))
+		item.started = now
 		g.running[item.ID] = item
 		res.Start = append(res.Start, item)
 	}
--- a/core/zyadmission/limit.go
+++ b/core/zyadmission/limit.go
@@ -9,37 +9,62 @@
 )
 
 const (
-	limitWindow     = 250 * time.Millisecond
-	fewestSamples   = 40
-	smallestStep    = 0.05
-	largestStep     = 0.5
-	usefulElastic   = 0.5
-	announcedFactor = 16
-	saturatedShare  = 0.9
+	limitWindow    = 100 * time.Millisecond
+	fewestSamples  = 30
+	raiseFactor    = 1.3
+	lowerFactor    = 0.7
+	lowestFactor   = 0.1
+	crowdedFactor  = 1.4
+	usefulElastic  = 0.5
+	shortestWait   = 1 * time.Second
+	longestPause   = 32 * time.Second
+	largestFactor  = 16
+	saturatedShare = 0.5
+	baseWeight     = 0.2
 )
 
-// Limit learns how many calls a worker can run at once. It starts from the
-// announced slots and climbs while more concurrency brings more completions.
-// A Limit must be made with NewLimit.
+// trial is a change of the limit whose effect is being watched.
+type trial int
+
+const (
+	noTrial trial = iota
+	raised
+	lowered
+)
+
+// Limit learns how many calls a worker can run at once. It believes the
+// announced slots until a trial shows otherwise: more calls at once that do not
+// make each call slower show that the worker has more room; fewer calls at once
+// that make each one faster show that it had too many. A service that is just
+// slow passes neither trial, so its limit stays. A Limit must be made with
+// NewLimit.
 type Limit struct {
 	value     float64
 	announced float64
 
-	windowEnd   time.Time
-	windowStart time.Time
-	finished    int
-	full        bool
+	trial  trial
+	before float64
+	// reference is the mean time of a call before the trial.
+	reference time.Duration
+	// base is the mean time of a call while the worker had room.
+	base time.Duration
+	// changed is when the limit was changed; calls that began earlier say
+	// nothing about it.
+	changed time.Time
 
-	lastRate  float64
-	lastValue float64
-	step      float64
-	rising    bool
+	end     time.Time
+	sum     time.Duration
+	samples int
+	full    int
+
+	raiseAt, lowerAt       time.Time
+	raisePause, lowerPause time.Duration
 }
 
 // NewLimit returns a limit that starts at the announced slots.
 func NewLimit(slots int) *Limit {
 	start := math.Max(float64(slots), 1)
-	return &Limit{value: start, announced: start, step: smallestStep}
+	return &Limit{value: start, announced: start, raisePause: shortestWait, lowerPause: shortestWait}
 }
 
 // Announce notes a change of the announced slots. An unchanged announcement
@@ -51,7 +76,7 @@
 	}
 	l.value *= announced / l.announced
 	l.announced = announced
-	l.lastRate = 0
+	l.trial = noTrial
 	l.clamp()
 }
 
@@ -60,65 +85,134 @@
 	return max(int(math.Round(l.value)), 1)
 }
 
-// Finish notes that a call has ended while running calls, this one included,
-// were in flight.
-func (l *Limit) Finish(now time.Time, running int, waiting bool) {
-	if l.windowEnd.IsZero() {
-		l.open(now)
+// Finish notes a call that began at the given time and took the worker's own
+// time; waiting tells whether others wait for it to end.
+func (l *Limit) Finish(now, began time.Time, took time.Duration, waiting bool) {
+	if began.Before(l.changed) {
+		return
 	}
-	l.finished++
-	if !waiting && float64(running) < saturatedShare*l.value {
-		l.full = false
+	if l.end.IsZero() {
+		l.end = now.Add(limitWindow)
 	}
-	if now.Before(l.windowEnd) || l.finished < fewestSamples {
+	l.samples++
+	l.sum += took
+	if waiting {
+		l.full++
+	}
+	if now.Before(l.end) || l.samples < l.needed() {
 		return
 	}
-	l.close(now)
-	l.open(now)
+	mean := l.sum / time.Duration(l.samples)
+	saturated := float64(l.full) >= saturatedShare*float64(l.samples)
+	l.end, l.sum, l.samples, l.full = time.Time{}, 0, 0, 0
+	l.judge(now, mean, saturated)
 }
 
-func (l *Limit) open(now time.Time) {
-	l.windowStart = now
-	l.windowEnd = now.Add(limitWindow)
-	l.finished = 0
-	l.full = true
+// needed is how many calls a window has to hold at least.
+func (l *Limit) needed() int {
+	return max(fewestSamples, l.Value())
 }
 
-// close compares the rate of the window with the one before, which had another
-// limit, and chooses the direction of the next step.
-func (l *Limit) close(now time.Time) {
-	if !l.full {
-		l.lastRate = 0
+func (l *Limit) judge(now time.Time, mean time.Duration, saturated bool) {
+	if !saturated {
+		l.settle(now, l.trial == lowered)
+		l.learnBase(mean)
 		return
 	}
-	rate := float64(l.finished) / now.Sub(l.windowStart).Seconds()
-	if l.lastRate == 0 || l.lastValue == l.value {
-		l.lastRate = rate
-		l.lastValue = l.value
-		l.move(l.rising)
+	switch l.trial {
+	case raised:
+		l.judgeRaise(now, mean)
+	case lowered:
+		l.judgeLower(now, mean)
+	case noTrial:
+		l.begin(now, mean)
+	}
+}
+
+// learnBase averages the time of calls while the worker has room.
+func (l *Limit) learnBase(mean time.Duration) {
+	if l.base == 0 {
+		l.base = mean
 		return
 	}
-	elastic := math.Log(rate/l.lastRate) / math.Log(l.value/l.lastValue)
-	l.lastRate = rate
-	l.lastValue = l.value
-	l.move(elastic > usefulElastic)
+	l.base += time.Duration(baseWeight * float64(mean-l.base))
 }
 
-func (l *Limit) move(rising bool) {
-	if rising == l.rising {
-		l.step = math.Min(l.step*1.5, largestStep)
-	} else {
-		l.step = smallestStep
+// begin starts a trial if one is due.
+func (l *Limit) begin(now time.Time, mean time.Duration) {
+	l.reference = mean
+	l.before = l.value
+	crowded := l.base == 0 || float64(mean) > crowdedFactor*float64(l.base)
+	switch {
+	case crowded && !now.Before(l.lowerAt):
+		l.trial = lowered
+		l.set(now, l.value*l.lowerShare(mean))
+	case !now.Before(l.raiseAt):
+		l.trial = raised
+		l.set(now, math.Max(l.value*raiseFactor, l.value+1))
 	}
-	l.rising = rising
-	if rising {
-		l.value = math.Max(l.value*(1+l.step), l.value+1)
-	} else {
-		l.value /= 1 + l.step
+}
+
+// lowerShare is how far a crowded worker's limit is lowered: as far as the
+// calls have become slower, if that is known.
+func (l *Limit) lowerShare(mean time.Duration) float64 {
+	if l.base == 0 {
+		return lowerFactor
 	}
+	return math.Min(math.Max(crowdedFactor*float64(l.base)/float64(mean), lowestFactor), lowerFactor)
+}
+
+func (l *Limit) judgeRaise(now time.Time, mean time.Duration) {
+	if l.elastic(mean) < usefulElastic {
+		l.trial = noTrial
+		l.raisePause = shortestWait
+		l.raiseAt = now
+		return
+	}
+	l.raisePause = min(l.raisePause*2, longestPause)
+	l.settle(now, true)
+}
+
+func (l *Limit) judgeLower(now time.Time, mean time.Duration) {
+	if l.elastic(mean) > usefulElastic {
+		l.trial = noTrial
+		l.lowerPause = shortestWait
+		l.lowerAt = now
+		l.raiseAt = now.Add(shortestWait)
+		return
+	}
+	// The calls are as slow with fewer at once: the service itself is slow.
+	l.base = l.reference
+	l.lowerPause = min(l.lowerPause*2, longestPause)
+	l.settle(now, true)
+}
+
+// settle ends a trial, with the old limit where undo is true.
+func (l *Limit) settle(now time.Time, undo bool) {
+	if l.trial == noTrial {
+		return
+	}
+	l.trial = noTrial
+	l.raiseAt = now.Add(l.raisePause)
+	l.lowerAt = now.Add(l.lowerPause)
+	if undo {
+		l.set(now, l.before)
+	}
+}
+
+// elastic is the relative change of the time of a call by the relative change
+// of the limit: 0 where the worker has room, 1 where calls queue within it.
+func (l *Limit) elastic(mean time.Duration) float64 {
+	return math.Log(float64(mean)/float64(l.reference)) / math.Log(l.value/l.before)
+}
+
+func (l *Limit) set(now time.Time, value float64) {
+	l.value = value
 	l.clamp()
+	l.changed = now
+	l.end, l.sum, l.samples, l.full = time.Time{}, 0, 0, 0
 }
 
 func (l *Limit) clamp() {
-	l.value = math.Min(math.Max(l.value, 1), l.announced*announcedFactor)
+	l.value = math.Min(math.Max(l.value, 1), l.announced*largestFactor)
 }
--- /dev/null
+++ b/core/zyexperiment/generate.go
@@ -0,0 +1,3 @@
+package zyexperiment
+
+//go:generate enumer -type=Policy -transform=title-lower
--- /dev/null
+++ b/core/zyexperiment/overload.go
@@ -0,0 +1,243 @@
+package zyexperiment
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"zinniayoke"
+	"zinniayoke/core/zyattempt"
+	"zinniayoke/core/zydoor"
+	"zinniayoke/core/zypick"
+	"zinniayoke/core/zyrank"
+)
+
+// Policy is a way to treat calls. The zero value is PassThrough.
+type Policy int
+
+// The policies that are compared.
+const (
+	// PassThrough sends each call to a random worker and never sheds.
+	PassThrough Policy = iota
+	// FixedLimit admits as many calls as the worker has slots, first come first
+	// served, and retries at each hop.
+	FixedLimit
+	// Full is the policy of this project.
+	Full
+	// NoDoor is Full without shedding at the entry.
+	NoDoor
+	// FixedSlots is Full with the limit fixed at the announced slots.
+	FixedSlots
+)
+
+// Load is a stream of root calls of one class.
+type Load struct {
+	Class      string
+	Importance int
+	// Rate is calls a second in quiet times; Surge multiplies it under pressure.
+	Rate  float64
+	Surge float64
+	// Callers share the rate. The first one sends Greedy times its share under
+	// pressure, 0 means like the others.
+	Callers int
+	Greedy  float64
+	// Resends is how often a caller sends a failed call again under pressure.
+	Resends int
+}
+
+// Scenario is what happens in one run.
+type Scenario struct {
+	Name  string
+	Loads []Load
+	// Depth is the number of services in the chain; the last is the bottleneck.
+	Depth     int
+	Slots     int
+	DeepSlots int
+	// Slow multiplies the time of the last service under pressure.
+	Slow float64
+	// LostDomain takes the workers of one failure domain away under pressure.
+	LostDomain bool
+	// Restart restarts all workers of the last service as pressure begins.
+	Restart bool
+	// Lie multiplies the slots that workers announce.
+	Lie float64
+	// Calm, Pressure and After are the lengths of the phases.
+	Calm     time.Duration
+	Pressure time.Duration
+	After    time.Duration
+	Seed     uint64
+}
+
+const (
+	domains      = 4
+	ownTime      = 20 * time.Millisecond
+	deepTime     = 60 * time.Millisecond
+	rootTimeout  = 1 * time.Second
+	nearHop      = 500 * time.Microsecond
+	domainHop    = 1 * time.Millisecond
+	regionHop    = 30 * time.Millisecond
+	tickPeriod   = 10 * time.Millisecond
+	probeShare   = 0.01
+	retryShare   = 0.1
+	naiveRetries = 2
+	resendPause  = 5 * time.Millisecond
+	coldTime     = 5 * time.Second
+	coldFactor   = 3
+	downTime     = 1 * time.Second
+)
+
+// run is one scenario under one policy.
+type run struct {
+	scenario Scenario
+	policy   Policy
+	clock    *clock
+	random   *rand.Rand
+	hosts    [][]*simHost
+	all      []*simHost
+	serial   int
+	score    *score
+}
+
+// Run runs a scenario under a policy.
+func Run(s Scenario, p Policy) Result {
+	r := &run{scenario: s, policy: p, clock: newClock(), random: rand.New(rand.NewPCG(s.Seed, 7))}
+	r.score = newScore(r)
+	r.build()
+	for _, l := range s.Loads {
+		for c := range max(l.Callers, 1) {
+			r.startCaller(l, c)
+		}
+	}
+	r.schedulePressure()
+	r.clock.run(s.Calm + s.Pressure + s.After)
+	return r.score.result()
+}
+
+func (r *run) build() {
+	for depth := range r.scenario.Depth {
+		var service []*simHost
+		for d := range domains {
+			h := newSimHost(r, depth, d)
+			service = append(service, h)
+			r.all = append(r.all, h)
+		}
+		r.hosts = append(r.hosts, service)
+	}
+	for _, h := range r.all {
+		h.door = zydoor.New(zydoor.Config{ProbeShare: probeShare, Random: r.random.Float64})
+		h.picker = zypick.New(zypick.Config{Place: h.place, Roster: r, Random: r.random})
+		r.clock.every(tickPeriod, tickPeriod, h.tick)
+	}
+}
+
+// Upstreams implements zinniayoke.Roster.
+func (r *run) Upstreams(s zinniayoke.Service) []zinniayoke.Upstream {
+	var list []zinniayoke.Upstream
+	for _, h := range r.all {
+		if h.service == s && !h.down {
+			list = append(list, h.upstream())
+		}
+	}
+	return list
+}
+
+func (r *run) underPressure() bool {
+	t := r.clock.since()
+	return t >= r.scenario.Calm && t < r.scenario.Calm+r.scenario.Pressure
+}
+
+func (r *run) schedulePressure() {
+	s := r.scenario
+	r.clock.after(s.Calm, func() {
+		for _, h := range r.all {
+			if s.LostDomain && h.domain == 0 {
+				h.crash()
+			}
+			if s.Restart && h.depth == s.Depth-1 {
+				h.crash()
+				r.clock.after(downTime, h.restart)
+			}
+		}
+	})
+	r.clock.after(s.Calm+s.Pressure, func() {
+		for _, h := range r.all {
+			if s.LostDomain && h.domain == 0 {
+				h.restart()
+			}
+		}
+	})
+}
+
+// startCaller sends calls at random times.
+func (r *run) startCaller(l Load, number int) {
+	var next func()
+	next = func() {
+		rate := l.Rate / float64(max(l.Callers, 1))
+		if r.underPressure() {
+			rate *= max(l.Surge, 1)
+			if number == 0 && l.Greedy > 0 {
+				rate *= l.Greedy
+			}
+		}
+		r.clock.after(time.Duration(r.random.ExpFloat64()/rate*float64(time.Second)), func() {
+			r.root(l, number)
+			next()
+		})
+	}
+	next()
+}
+
+// root is one call of a caller with its re-sends.
+type root struct {
+	load    Load
+	caller  int
+	began   time.Time
+	sends   int
+	pending bool
+}
+
+func (r *run) root(l Load, caller int) {
+	rt := &root{load: l, caller: caller, began: r.clock.now}
+	r.score.sent(rt)
+	r.sendRoot(rt)
+}
+
+func (r *run) sendRoot(rt *root) {
+	rt.sends++
+	entry := r.all[r.random.IntN(len(r.all))]
+	if entry.down {
+		entry = r.hosts[0][1]
+	}
+	r.serial++
+	c := &simCall{
+		root: rt, deadline: r.clock.now.Add(rootTimeout), attempts: r.attempts(),
+		rank: r.rank(rt, entry),
+	}
+	c.pool = zyattempt.NewPool(c.attempts, zinniayoke.Tokens(r.scenario.Depth))
+	over := false
+	finish := func(ok bool) {
+		if over {
+			return
+		}
+		over = true
+		c.cancelled = !ok
+		r.score.spent(c, ok)
+		if !ok && r.underPressure() && rt.sends <= rt.load.Resends {
+			r.clock.after(resendPause, func() { r.sendRoot(rt) })
+			return
+		}
+		r.score.ended(rt, ok)
+	}
+	r.clock.after(rootTimeout, func() { finish(false) })
+	entry.enter(c, finish)
+}
+
+func (r *run) attempts() zinniayoke.Tokens {
+	return zinniayoke.Tokens(2 * r.scenario.Depth)
+}
+
+func (r *run) rank(rt *root, entry *simHost) zinniayoke.Rank {
+	name := zinniayoke.Caller(rt.load.Class + string(rune('a'+rt.caller)))
+	share := entry.shares.Of(r.clock.now, name)
+	id := zinniayoke.RequestID(name) + zinniayoke.RequestID(rune(r.serial))
+	return zyrank.Of(rt.load.Importance, 0, share, id)
+}
--- /dev/null
+++ b/core/zyexperiment/table.go
@@ -0,0 +1,69 @@
+package zyexperiment
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+)
+
+// RunAll runs the chosen scenarios under each policy, several at a time, and
+// returns the results in the order of the scenarios.
+func RunAll(scenarios []Scenario, policies []Policy, chosen func(Scenario) bool) []Result {
+	var results []*Result
+	places := make(chan struct{}, runtime.NumCPU())
+	var active sync.WaitGroup
+	for _, s := range scenarios {
+		if !chosen(s) {
+			continue
+		}
+		for _, p := range policies {
+			result := &Result{}
+			results = append(results, result)
+			active.Go(func() {
+				places <- struct{}{}
+				defer func() { <-places }()
+				*result = Run(s, p)
+			})
+		}
+	}
+	active.Wait()
+	list := make([]Result, len(results))
+	for i, r := range results {
+		list[i] = *r
+	}
+	return list
+}
+
+// PrintTable writes results as a table in Markdown.
+func PrintTable(w io.Writer, results []Result) {
+	_, _ = fmt.Fprintln(w, "| scenario | depth | policy | goodput | by class | others | wasted | recovery s | calm shed | calm p99 ms | attempts | inversions |")
+	_, _ = fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|---|---|---|")
+	for _, r := range results {
+		_, _ = fmt.Fprintf(w, "| %s | %d | %s | %.1f%% | %s | %.1f%% | %.1f%% | %s | %.2f%% | %.0f | %d | %d |\n",
+			r.Scenario, r.Depth, r.Policy, 100*r.Goodput, classesOf(r), 100*r.Others, 100*r.Wasted, recoveryOf(r),
+			100*r.CalmShed, r.CalmP99, r.MostAttempts, r.Inversions)
+	}
+}
+
+func recoveryOf(r Result) string {
+	if r.Recovery < 0 {
+		return "not in 20 s"
+	}
+	return fmt.Sprintf("%.1f", r.Recovery)
+}
+
+func classesOf(r Result) string {
+	names := make([]string, 0, len(r.ByClass))
+	for name := range r.ByClass {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	parts := make([]string, len(names))
+	for i, name := range names {
+		parts[i] = fmt.Sprintf("%s %.1f%%", name, 100*r.ByClass[name])
+	}
+	return strings.Join(parts, ", ")
+}
--- /dev/null
+++ b/core/zyhome/home_test.go
@@ -0,0 +1,175 @@
+package zyhome_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"zinniayoke"
+	"zinniayoke/core/zyattempt"
+	"zinniayoke/core/zybundle"
+	"zinniayoke/core/zyclaim"
+	"zinniayoke/core/zydoor"
+	"zinniayoke/core/zyegress"
+	"zinniayoke/core/zyhome"
+	"zinniayoke/core/zypick"
+	"zinniayoke/core/zysuspect"
+)
+
+const (
+	self   zinniayoke.NodeID  = "self/1"
+	worker zinniayoke.NodeID  = "worker/1"
+	gone   zinniayoke.NodeID  = "gone/1"
+	key    zinniayoke.Key     = "k"
+	domain zinniayoke.Domain  = "d"
+	svc    zinniayoke.Service = "s"
+)
+
+var route = &zybundle.Route{Name: "s/r", Service: svc, NeverRepeat: true, Attempts: 3}
+
+// system stands for all other nodes.
+type system struct {
+	held   []zyclaim.Held
+	fate   zinniayoke.Fate
+	lost   map[zinniayoke.NodeID]time.Time
+	runs   int
+	answer func(a *zinniayoke.Attempt) (*zinniayoke.Reply, error)
+}
+
+func (s *system) Recall(context.Context, zinniayoke.NodeID, []zinniayoke.Slot, zinniayoke.Epoch) (*zyhome.Recall, error) {
+	return &zyhome.Recall{Held: s.held}, nil
+}
+
+func (s *system) Keepers(zinniayoke.Domain) []zinniayoke.NodeID { return []zinniayoke.NodeID{self} }
+
+func (s *system) Memories() ([]zinniayoke.NodeID, map[zinniayoke.NodeID]time.Time) {
+	return []zinniayoke.NodeID{worker}, s.lost
+}
+
+func (s *system) Upstreams(zinniayoke.Service) []zinniayoke.Upstream {
+	return []zinniayoke.Upstream{{Node: worker, Service: svc, State: zinniayoke.WorkerServing}}
+}
+
+// wires carries messages to the system.
+type wires struct{ *system }
+
+func (w wires) Run(_ context.Context, _ zinniayoke.Upstream, a *zinniayoke.Attempt) (*zinniayoke.Reply, error) {
+	w.runs++
+	return w.answer(a)
+}
+
+func (w wires) Ask(context.Context, zinniayoke.Upstream, zinniayoke.AttemptID) (*zinniayoke.AskReply, error) {
+	return &zinniayoke.AskReply{Fate: w.fate}, nil
+}
+
+func (w wires) Cancel(zinniayoke.Upstream, zinniayoke.AttemptID) {}
+
+// elders asks the system.
+type elders struct{ *system }
+
+func (e elders) Ask(context.Context, zinniayoke.NodeID, zinniayoke.AttemptID) (*zinniayoke.AskReply, error) {
+	return &zinniayoke.AskReply{Fate: e.fate}, nil
+}
+
+type nopMeter struct{}
+
+func (nopMeter) Call(zinniayoke.CallSample)       {}
+func (nopMeter) Attempt(zinniayoke.AttemptSample) {}
+func (nopMeter) Sent(zinniayoke.Service)          {}
+func (nopMeter) Mismatch()                        {}
+
+func newHome(s *system) *zyhome.Home {
+	rules := func() *zybundle.Bundle { return &zybundle.Bundle{} }
+	sender := zyegress.New(zyegress.Config{
+		Peers: wires{s}, Roster: s, Door: zydoor.New(zydoor.Config{}), Budgets: zyattempt.NewBudgets(),
+		Suspects: zysuspect.New(zysuspect.Config{Most: 10}), Meter: nopMeter{}, Rules: rules,
+		Picker: zypick.New(zypick.Config{Roster: s, Random: rand.New(rand.NewPCG(1, 1))}),
+	})
+	return zyhome.New(zyhome.Config{
+		Node: self, Domain: domain, Sender: sender, Rules: rules, Elders: elders{s}, Roll: s,
+		Keeper: zyclaim.NewKeeper(zyclaim.KeeperConfig{Node: self, Most: 100, Window: time.Minute}),
+	})
+}
+
+func call(body uint64) *zinniayoke.Call {
+	return &zinniayoke.Call{
+		Request: "r", Service: svc, Route: route.Name, Key: key, OwnKey: true, BodyHash: body, Tokens: 3,
+		Deadline: time.Now().Add(2 * time.Second),
+	}
+}
+
+func run(h *zyhome.Home, body uint64) *zinniayoke.Reply {
+	c := call(body)
+	ctx, cancel := context.WithDeadline(context.Background(), c.Deadline)
+	defer cancel()
+	return h.Run(ctx, c, route)
+}
+
+func held(fate zinniayoke.Fate) []zyclaim.Held {
+	return []zyclaim.Held{{Key: key, Slot: zyclaim.SlotOf(domain, key), BodyHash: 1, Attempt: "a", Node: worker, Fate: fate}}
+}
+
+func done(a *zinniayoke.Attempt) (*zinniayoke.Reply, error) {
+	answer := &zinniayoke.Answer{Status: 200, Attempt: a.ID, Request: a.Request, Hash: 0xef46db3751d8e999}
+	return &zinniayoke.Reply{Attempt: a.ID, Request: a.Request, Outcome: zinniayoke.OutcomeDone, Answer: answer}, nil
+}
+
+func TestKeeperDecisions(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		system  system
+		body    uint64
+		outcome zinniayoke.Outcome
+		reason  zinniayoke.Reason
+		runs    int
+	}{
+		{"a new key runs", system{answer: done}, 1, zinniayoke.OutcomeDone, zinniayoke.ReasonNone, 1},
+		{"a key that still runs at its deadline", system{held: held(zinniayoke.FateRunning), fate: zinniayoke.FateRunning},
+			1, zinniayoke.OutcomeUnknown, zinniayoke.ReasonDeadline, 0},
+		{"a key whose answer is lost", system{held: held(zinniayoke.FateLost), fate: zinniayoke.FateLost},
+			1, zinniayoke.OutcomeUnknown, zinniayoke.ReasonKeyUncertain, 0},
+		{"a key that never reached its worker runs now", system{held: held(zinniayoke.FateRunning), fate: zinniayoke.FateNeverSeen, answer: done},
+			1, zinniayoke.OutcomeDone, zinniayoke.ReasonNone, 1},
+		{"a key with another body", system{held: held(zinniayoke.FateRunning), fate: zinniayoke.FateRunning},
+			2, zinniayoke.OutcomeUnknown, zinniayoke.ReasonKeyReused, 0},
+		{"an unknown key while a node is lost", system{lost: map[zinniayoke.NodeID]time.Time{gone: time.Now().Add(time.Hour)}, answer: done},
+			1, zinniayoke.OutcomeUnknown, zinniayoke.ReasonKeyUncertain, 0},
+		{"a node that was lost before the window", system{lost: map[zinniayoke.NodeID]time.Time{gone: {}}, answer: done},
+			1, zinniayoke.OutcomeDone, zinniayoke.ReasonNone, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				reply := run(newHome(&c.system), c.body)
+				if reply.Outcome != c.outcome || reply.Reason != c.reason || c.system.runs != c.runs {
+					t.Errorf("outcome %s, reason %s, %d runs; want %s, %s, %d: %s",
+						reply.Outcome, reply.Reason, c.system.runs, c.outcome, c.reason, c.runs, reply.Detail)
+				}
+			})
+		})
+	}
+}
+
+func TestSendsOfOneKeyShareTheRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &system{answer: func(a *zinniayoke.Attempt) (*zinniayoke.Reply, error) {
+			time.Sleep(time.Second)
+			return done(a)
+		}}
+		h := newHome(s)
+		replies := make(chan *zinniayoke.Reply, 3)
+		for range cap(replies) {
+			go func() { replies <- run(h, 1) }()
+		}
+		first := <-replies
+		for range cap(replies) - 1 {
+			if next := <-replies; next.Outcome != zinniayoke.OutcomeDone || next.Attempt != first.Attempt {
+				t.Errorf("another send got %s of attempt %s, want %s", next.Outcome, next.Attempt, first.Attempt)
+			}
+		}
+		if s.runs != 1 {
+			t.Errorf("%d runs", s.runs)
+		}
+	})
+}
--- a/core/zymember/table.go
+++ b/core/zymember/table.go
@@ -1,6 +1,7 @@
 package zymember
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -42,6 +43,10 @@
 	Since time.Time
 }
 
+func (m *Member) change() Change {
+	return Change{Upstream: m.Upstream, Status: m.Status, Counter: m.Counter}
+}
+
 // Table is one node's view of all nodes. It is not safe for use by several
 // goroutines. A Table must be made with NewTable.
 type Table struct {
@@ -223,7 +228,7 @@
 	p := t.packet(Ping, sequence)
 	p.Target = target
 	if m.Status != zinniayoke.MemberAlive {
-		p.Changes = append([]Change{{Upstream: m.Upstream, Status: m.Status, Counter: m.Counter}}, p.Changes...)
+		p.Changes = append([]Change{m.change()}, p.Changes...)
 	}
 	return Addressed{To: m.Upstream.Peer, Packet: p}
 }
@@ -314,6 +319,10 @@
 		return nil
 	}
 	ack := t.packet(Ack, p.Sequence)
+	if m, ok := t.members[p.From]; ok && m.Status != zinniayoke.MemberAlive {
+		// The sender has to know what is believed of it, so that it can object.
+		ack.Changes = append([]Change{m.change()}, ack.Changes...)
+	}
 	return []Addressed{{To: p.FromAddress, Packet: ack}}
 }
 
@@ -341,16 +350,23 @@
 // expire turns suspects into dead ones and forgets what is long gone.
 func (t *Table) expire(now time.Time) {
 	limit := t.suspicion()
+	var late []zinniayoke.NodeID
 	for id, m := range t.members {
 		age := now.Sub(m.Since)
 		switch {
 		case m.Status == zinniayoke.MemberSuspect && age >= limit:
-			t.merge(now, Change{Upstream: m.Upstream, Status: zinniayoke.MemberDead, Counter: m.Counter})
+			late = append(late, id)
 		case !here(m) && age > t.cfg.Remember && id != t.cfg.Self.Node:
 			delete(t.members, id)
 			t.revision++
 		}
 	}
+	slices.Sort(late)
+	for _, id := range late {
+		dead := t.members[id].change()
+		dead.Status = zinniayoke.MemberDead
+		t.merge(now, dead)
+	}
 	for sequence, r := range t.relays {
 		if now.Sub(r.at) > t.cfg.Period {
 			delete(t.relays, sequence)
@@ -433,9 +449,10 @@
 	for id, m := range t.members {
 		i := bucketOf(id)
 		if i >= len(theirs) || theirs[i] != mine[i] {
-			list = append(list, Change{Upstream: m.Upstream, Status: m.Status, Counter: m.Counter})
+			list = append(list, m.change())
 		}
 	}
+	slices.SortFunc(list, func(a, b Change) int { return cmp.Compare(a.Upstream.Node, b.Upstream.Node) })
 	return list
 }
 
