zyadmission: set the threshold from what was served

Cause: the threshold moved in steps from its own last value every 50 ms, while a change takes 130 ms to reach the entries and come back, so it swung. Change: it admits 1.05 times what was served lately, divided by the share of the limit that ran; a change that is still on its way is not made twice.

--- a/core/zyadmission/gate.go
+++ b/core/zyadmission/gate.go
@@ -151,7 +151,7 @@
 	for len(g.waiting) > g.queueBound(now) {
 		last, _ := g.queue.DeleteMax()
 		delete(g.waiting, last.ID)
-		g.threshold.Shed(now, last.Rank)
+		g.threshold.Shed(now)
 		res.Refuse = append(res.Refuse, Refusal{Item: last, Reason: zinniayoke.ReasonShed})
 	}
 	return res
@@ -209,7 +209,7 @@
 	if g.hopeless(now, item) {
 		reason = zinniayoke.ReasonDeadline
 	}
-	g.threshold.Shed(now, item.Rank)
+	g.threshold.Shed(now)
 	res.Refuse = append(res.Refuse, Refusal{Item: item, Reason: reason})
 }
 
@@ -221,6 +221,7 @@
 // start moves items from the queue to the worker, in order, while it has room.
 func (g *Gate) start(now time.Time, res *Result) {
 	limit := g.Limit(now)
+	defer func() { g.threshold.Use(now, min(float64(len(g.running))/float64(limit), 1)) }()
 	for len(g.running) < limit {
 		item, ok := g.queue.DeleteMin()
 		if !ok {
--- a/core/zyadmission/threshold.go
+++ b/core/zyadmission/threshold.go
@@ -10,24 +10,36 @@
 const (
 	thresholdWindow = 50 * time.Millisecond
 	standingDelay   = 20 * time.Millisecond
-	reopenFactor    = 1.25
-	closeFactor     = 0.95
-	demandDecay     = 0.9
-	closedDecay     = 0.98
-	bucketShift     = 12
-	fewestDemand    = 1e-3
+	// overfill is how much more than it can serve a worker lets come, so that it
+	// never idles while others are refused.
+	overfill     = 1.05
+	leastUse     = 0.3
+	rateWeight   = 0.2
+	demandDecay  = 0.9
+	closedDecay  = 0.98
+	bucketShift  = 12
+	fewestDemand = 1e-3
 )
 
-// Threshold finds the lowest rank that a worker can serve now. It rises as soon
-// as calls are shed and falls step by step when none are.
-// A Threshold must be made with NewThreshold.
+// Threshold finds the lowest rank that a worker can serve now: the one above
+// which as many calls arrive as it has served lately, corrected for the room
+// that it had. A Threshold must be made with NewThreshold.
 type Threshold struct {
-	value    zinniayoke.Rank
-	demand   map[zinniayoke.Rank]float64
-	arrived  map[zinniayoke.Rank]int
-	end      time.Time
-	shed     int
-	total    int
+	value   zinniayoke.Rank
+	demand  map[zinniayoke.Rank]float64
+	arrived map[zinniayoke.Rank]int
+
+	begin time.Time
+	shed  int
+	total int
+	// served is the average number of calls that were admitted in a window.
+	served float64
+	// use is the average share of the limit that was running.
+	use     float64
+	busy    float64
+	changed time.Time
+	level   float64
+	// shortest is the shortest wait of the calls that started in the window.
 	shortest time.Duration
 	waited   bool
 }
@@ -53,7 +65,7 @@
 }
 
 // Shed counts a call that was refused for lack of room.
-func (t *Threshold) Shed(now time.Time, _ zinniayoke.Rank) {
+func (t *Threshold) Shed(now time.Time) {
 	t.Tick(now)
 	t.shed++
 }
@@ -66,22 +78,40 @@
 	t.waited = true
 }
 
+// Use notes which share of the limit runs from now on.
+func (t *Threshold) Use(now time.Time, share float64) {
+	t.Tick(now)
+	t.busy += t.level * now.Sub(t.changed).Seconds()
+	t.changed = now
+	t.level = share
+}
+
 // Tick closes the window if it has ended.
 func (t *Threshold) Tick(now time.Time) {
-	if t.end.IsZero() {
-		t.end = now.Add(thresholdWindow)
+	if t.begin.IsZero() {
+		t.begin, t.changed = now, now
 		return
 	}
-	if now.Before(t.end) {
+	length := now.Sub(t.begin)
+	if length < thresholdWindow {
 		return
 	}
+	t.busy += t.level * now.Sub(t.changed).Seconds()
+	t.changed = now
+	windows := float64(length) / float64(thresholdWindow)
+	t.average(float64(t.total-min(t.shed, t.total))/windows, t.busy/length.Seconds())
 	t.remember()
 	t.move()
-	t.end = now.Add(thresholdWindow)
-	t.shed, t.total, t.waited, t.shortest = 0, 0, false, 0
+	t.begin = now
+	t.shed, t.total, t.busy, t.waited, t.shortest = 0, 0, 0, false, 0
 	clear(t.arrived)
 }
 
+func (t *Threshold) average(served, use float64) {
+	t.served += rateWeight * (served - t.served)
+	t.use += rateWeight * (use - t.use)
+}
+
 // remember updates the demand of the ranks that are open; what is closed keeps
 // its last known demand for longer, since it is shed before it arrives.
 func (t *Threshold) remember() {
@@ -104,30 +134,16 @@
 	return bucket >= t.value>>bucketShift
 }
 
-// move sets the threshold so that the demand above it fits.
+// move sets the threshold so that the demand above it fits. It starts from what
+// was served, not from the last threshold, so that a change which has not
+// reached the senders yet is not made twice.
 func (t *Threshold) move() {
 	overloaded := t.shed > 0 || t.waited && t.shortest > standingDelay
 	if !overloaded && t.value == 0 {
 		return
 	}
-	admitted := t.above(t.value)
-	if overloaded {
-		served := 1 - float64(t.shed)/float64(max(t.total, t.shed, 1))
-		t.value = max(t.value, t.admitting(admitted*min(served, closeFactor)))
-		return
-	}
-	t.value = min(t.value, t.admitting(max(admitted, 1)*reopenFactor))
-}
-
-// above returns the demand of all ranks from r on.
-func (t *Threshold) above(r zinniayoke.Rank) float64 {
-	sum := 0.0
-	for bucket, demand := range t.demand {
-		if bucket >= r>>bucketShift {
-			sum += demand
-		}
-	}
-	return sum
+	room := t.served / min(max(t.use, leastUse), 1)
+	t.value = t.admitting(room * overfill)
 }
 
 // admitting returns the lowest threshold above which the demand is at most
