zyadmission: never lower the limit below what the worker has proven

Cause: a slow service looked like a crowded worker, and a trial with few calls lasted for many seconds; a new worker's limit ramped although it could run all its slots, only slower.

--- a/core/zyadmission/gate.go
+++ b/core/zyadmission/gate.go
@@ -165,7 +165,7 @@
 	if !ok {
 		return res
 	}
-	g.limit.Finish(now, item.started, took, len(g.waiting) > 0)
+	g.limit.Finish(now, item.started, took, len(g.running), len(g.waiting) > 0)
 	delete(g.running, id)
 	g.learn(item.Route, took)
 	g.start(now, &res)
--- a/core/zyadmission/limit.go
+++ b/core/zyadmission/limit.go
@@ -10,7 +10,7 @@
 
 const (
 	limitWindow    = 100 * time.Millisecond
-	fewestSamples  = 30
+	fewestSamples  = 12
 	raiseFactor    = 1.3
 	lowerFactor    = 0.7
 	lowestFactor   = 0.1
@@ -18,6 +18,8 @@
 	usefulElastic  = 0.5
 	shortestWait   = 1 * time.Second
 	longestPause   = 32 * time.Second
+	longestTrial   = 1 * time.Second
+	provenFactor   = 1.15
 	largestFactor  = 16
 	saturatedShare = 0.5
 	baseWeight     = 0.2
@@ -52,10 +54,14 @@
 	// nothing about it.
 	changed time.Time
 
+	// proven is the most calls at once that ran no slower than with room.
+	proven float64
+
 	end     time.Time
 	sum     time.Duration
 	samples int
 	full    int
+	running int
 
 	raiseAt, lowerAt       time.Time
 	raisePause, lowerPause time.Duration
@@ -86,8 +92,9 @@
 }
 
 // Finish notes a call that began at the given time and took the worker's own
-// time; waiting tells whether others wait for it to end.
-func (l *Limit) Finish(now, began time.Time, took time.Duration, waiting bool) {
+// time. Running calls, this one included, were at the worker, and waiting tells
+// whether others wait for it to end.
+func (l *Limit) Finish(now, began time.Time, took time.Duration, running int, waiting bool) {
 	if began.Before(l.changed) {
 		return
 	}
@@ -95,36 +102,63 @@
 		l.end = now.Add(limitWindow)
 	}
 	l.samples++
+	l.running += running
 	l.sum += took
 	if waiting {
 		l.full++
 	}
 	if now.Before(l.end) || l.samples < l.needed() {
+		l.giveUp(now)
 		return
 	}
 	mean := l.sum / time.Duration(l.samples)
 	saturated := float64(l.full) >= saturatedShare*float64(l.samples)
-	l.end, l.sum, l.samples, l.full = time.Time{}, 0, 0, 0
+	together := float64(l.running) / float64(l.samples)
+	l.clear()
+	l.prove(mean, together)
 	l.judge(now, mean, saturated)
 }
 
+// giveUp ends a trial that brings too few calls to judge by.
+func (l *Limit) giveUp(now time.Time) {
+	if l.trial == noTrial || now.Sub(l.changed) < max(longestTrial, 4*l.reference) {
+		return
+	}
+	if l.trial == raised {
+		l.raisePause = min(l.raisePause*2, longestPause)
+	} else {
+		l.lowerPause = min(l.lowerPause*2, longestPause)
+	}
+	l.settle(now, true)
+}
+
+// prove remembers how many calls at once the worker has run at full speed. The
+// limit never falls below that, however slow the service becomes.
+func (l *Limit) prove(mean time.Duration, running float64) {
+	if l.base > 0 && float64(mean) <= provenFactor*float64(l.base) {
+		l.proven = math.Max(l.proven, running)
+	}
+}
+
+func (l *Limit) clear() {
+	l.end, l.sum, l.samples, l.full, l.running = time.Time{}, 0, 0, 0, 0
+}
+
 // needed is how many calls a window has to hold at least.
 func (l *Limit) needed() int {
 	return max(fewestSamples, l.Value())
 }
 
 func (l *Limit) judge(now time.Time, mean time.Duration, saturated bool) {
-	if !saturated {
-		l.settle(now, l.trial == lowered)
+	switch {
+	case l.trial == lowered:
+		l.judgeLower(now, mean)
+	case !saturated:
+		l.settle(now, true)
 		l.learnBase(mean)
-		return
-	}
-	switch l.trial {
-	case raised:
+	case l.trial == raised:
 		l.judgeRaise(now, mean)
-	case lowered:
-		l.judgeLower(now, mean)
-	case noTrial:
+	default:
 		l.begin(now, mean)
 	}
 }
@@ -210,9 +244,9 @@
 	l.value = value
 	l.clamp()
 	l.changed = now
-	l.end, l.sum, l.samples, l.full = time.Time{}, 0, 0, 0
+	l.clear()
 }
 
 func (l *Limit) clamp() {
-	l.value = math.Min(math.Max(l.value, 1), l.announced*largestFactor)
+	l.value = math.Min(math.Max(l.value, math.Max(l.proven, 1)), l.announced*largestFactor)
 }
--- a/core/zyexperiment/host.go
+++ b/core/zyexperiment/host.go
@@ -110,7 +110,7 @@
 	h.backlog, h.fifo = nil, nil
 	h.items = make(map[zinniayoke.AttemptID]*simAttempt)
 	h.gate = zyadmission.NewGate(zyadmission.Config{
-		Slots: h.announced(), Started: started, WarmUp: coldTime, Fixed: h.run.policy == FixedSlots,
+		Slots: h.announced(), Started: started, Fixed: h.run.policy == FixedSlots,
 	})
 }
 
--- a/core/zyexperiment/overload.go
+++ b/core/zyexperiment/overload.go
@@ -99,7 +99,7 @@
 
 // Run runs a scenario under a policy.
 func Run(s Scenario, p Policy) Result {
-	r := &run{scenario: s, policy: p, clock: newClock(), random: rand.New(rand.NewPCG(s.Seed, 7))}
+	r := &run{scenario: s, policy: p, clock: newClock(), random: newRandom(s.Seed)}
 	r.score = newScore(r)
 	r.build()
 	for _, l := range s.Loads {
@@ -204,8 +204,8 @@
 func (r *run) sendRoot(rt *root) {
 	rt.sends++
 	entry := r.all[r.random.IntN(len(r.all))]
-	if entry.down {
-		entry = r.hosts[0][1]
+	for entry.down {
+		entry = r.all[r.random.IntN(len(r.all))]
 	}
 	r.serial++
 	c := &simCall{
@@ -241,3 +241,8 @@
 	id := zinniayoke.RequestID(name) + zinniayoke.RequestID(rune(r.serial))
 	return zyrank.Of(rt.load.Importance, 0, share, id)
 }
+
+func newRandom(seed uint64) *rand.Rand {
+	const stream = 7
+	return rand.New(rand.NewPCG(seed, stream))
+}
