zyadmission: tell a crowded worker from a slow service

Cause: with slots announced 10 times too high, calls queue within the worker while the gate's queue is empty; such windows taught the limit that slow calls are normal, so it never fell.

--- a/core/zyadmission/limit.go
+++ b/core/zyadmission/limit.go
@@ -116,7 +116,7 @@
 	together := float64(l.running) / float64(l.samples)
 	l.clear()
 	l.prove(mean, together)
-	l.judge(now, mean, saturated)
+	l.judge(now, mean, together, saturated)
 }
 
 // giveUp ends a trial that brings too few calls to judge by.
@@ -149,34 +149,42 @@
 	return max(fewestSamples, l.Value())
 }
 
-func (l *Limit) judge(now time.Time, mean time.Duration, saturated bool) {
+func (l *Limit) judge(now time.Time, mean time.Duration, together float64, saturated bool) {
+	crowded := l.crowded(mean) && together > l.proven
 	switch {
 	case l.trial == lowered:
 		l.judgeLower(now, mean)
-	case !saturated:
+	case !saturated && !crowded:
 		l.settle(now, true)
-		l.learnBase(mean)
+		l.learnBase(mean, together)
 	case l.trial == raised:
 		l.judgeRaise(now, mean)
 	default:
-		l.begin(now, mean)
+		l.begin(now, mean, crowded)
 	}
 }
 
-// learnBase averages the time of calls while the worker has room.
-func (l *Limit) learnBase(mean time.Duration) {
-	if l.base == 0 {
+func (l *Limit) crowded(mean time.Duration) bool {
+	return l.base > 0 && float64(mean) > crowdedFactor*float64(l.base)
+}
+
+// learnBase averages the time of calls while the worker runs no more of them
+// than it has run at full speed. Beyond that, calls may be slow since they queue
+// within the worker.
+func (l *Limit) learnBase(mean time.Duration, together float64) {
+	switch {
+	case l.base == 0:
 		l.base = mean
-		return
+	case mean < l.base || together <= l.proven:
+		l.base += time.Duration(baseWeight * float64(mean-l.base))
 	}
-	l.base += time.Duration(baseWeight * float64(mean-l.base))
 }
 
 // begin starts a trial if one is due.
-func (l *Limit) begin(now time.Time, mean time.Duration) {
+func (l *Limit) begin(now time.Time, mean time.Duration, crowded bool) {
 	l.reference = mean
 	l.before = l.value
-	crowded := l.base == 0 || float64(mean) > crowdedFactor*float64(l.base)
+	crowded = crowded || l.base == 0
 	switch {
 	case crowded && !now.Before(l.lowerAt):
 		l.trial = lowered
