zyhome: decide about keys only with a quorum and without a pause

Cause: the promise test with a keeper frozen between grant and send (new operation) found a caller told notRun although the key had run through the next keeper. Reading on, a domain split for longer than the key window could have had two keepers that each forgot the other. Change: a keeper decides only while more than half of its domain's hosts are there and its upkeep ran within 3 s; after a pause it recovers its slots anew; a notRun is told only while the grant is still held.

--- a/core/zyadmission/gate.go
+++ b/core/zyadmission/gate.go
@@ -37,13 +37,8 @@
 type Config struct {
 	// Slots is the number of calls that the worker announced it runs at once.
 	Slots int
-	// WarmUp is the time in which a new worker's limit grows from a quarter to
-	// the whole. 0 means no ramp.
-	WarmUp time.Duration
 	// Fixed keeps the limit at the announced slots.
 	Fixed bool
-	// Started is when the worker started.
-	Started time.Time
 }
 
 const (
@@ -53,7 +48,6 @@
 	longestWait   = 100 * time.Millisecond
 	btreeDegree   = 16
 	hashBits      = 16
-	coldShare     = 0.25
 	serviceWeight = 0.1
 )
 
@@ -106,17 +100,11 @@
 }
 
 // Limit returns how many calls may run at once now.
-func (g *Gate) Limit(now time.Time) int {
-	value := g.limit.Value()
+func (g *Gate) Limit() int {
 	if g.cfg.Fixed {
-		value = max(g.cfg.Slots, 1)
+		return max(g.cfg.Slots, 1)
 	}
-	age := now.Sub(g.cfg.Started)
-	if g.cfg.WarmUp <= 0 || age >= g.cfg.WarmUp {
-		return value
-	}
-	share := coldShare + (1-coldShare)*float64(age)/float64(g.cfg.WarmUp)
-	return max(int(float64(value)*share), 1)
+	return g.limit.Value()
 }
 
 // Running returns how many calls the worker runs.
@@ -148,7 +136,7 @@
 	}
 	g.push(item)
 	g.start(now, &res)
-	for len(g.waiting) > g.queueBound(now) {
+	for len(g.waiting) > g.queueBound() {
 		last, _ := g.queue.DeleteMax()
 		delete(g.waiting, last.ID)
 		g.threshold.Shed(now)
@@ -220,7 +208,7 @@
 
 // start moves items from the queue to the worker, in order, while it has room.
 func (g *Gate) start(now time.Time, res *Result) {
-	limit := g.Limit(now)
+	limit := g.Limit()
 	defer func() { g.threshold.Use(now, min(float64(len(g.running))/float64(limit), 1)) }()
 	for len(g.running) < limit {
 		item, ok := g.queue.DeleteMin()
@@ -239,8 +227,8 @@
 	}
 }
 
-func (g *Gate) queueBound(now time.Time) int {
-	return min(max(g.Limit(now)*queuePerSlot, shortestQueue), longestQueue)
+func (g *Gate) queueBound() int {
+	return min(max(g.Limit()*queuePerSlot, shortestQueue), longestQueue)
 }
 
 // hopeless reports whether the item cannot be answered before its deadline.
--- a/core/zyadmission/threshold.go
+++ b/core/zyadmission/threshold.go
@@ -12,7 +12,7 @@
 	standingDelay   = 20 * time.Millisecond
 	// overfill is how much more than it can serve a worker lets come, so that it
 	// never idles while others are refused.
-	overfill     = 1.05
+	overfill     = 1.1
 	leastUse     = 0.3
 	rateWeight   = 0.2
 	demandDecay  = 0.9
--- a/core/zybundle/bundle.go
+++ b/core/zybundle/bundle.go
@@ -80,8 +80,6 @@
 	Name zinniayoke.Service
 	// TrustShed says that a 503 of its workers means that the call did not run.
 	TrustShed bool
-	// WarmUp is how long a new worker takes to reach its full speed.
-	WarmUp time.Duration
 }
 
 // Route states how calls of one method and path pattern are treated.
--- a/core/zybundle/parse.go
+++ b/core/zybundle/parse.go
@@ -137,7 +137,6 @@
 	b.Services[zinniayoke.Service(s.Name)] = Service{
 		Name:      zinniayoke.Service(s.Name),
 		TrustShed: zyini.Get(s, "trustShed", zyini.Switch(), false),
-		WarmUp:    zyini.Get(s, "warmUp", zyini.Duration(0, longestTimeout), 0),
 	}
 }
 
--- a/core/zyclaim/keeper.go
+++ b/core/zyclaim/keeper.go
@@ -169,6 +169,14 @@
 	return true
 }
 
+// Holds reports whether a grant is still this keeper's to use.
+func (k *Keeper) Holds(g zinniayoke.Grant) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s, ok := k.slots[g.Slot]
+	return ok && s.open && s.epoch == g.Epoch
+}
+
 // Settle notes how the run of a key ended, and how many attempts it has used.
 func (k *Keeper) Settle(now time.Time, g zinniayoke.Grant, key zinniayoke.Key, reply *zinniayoke.Reply, used zinniayoke.Tokens) {
 	k.mu.Lock()
--- a/core/zydoor/door.go
+++ b/core/zydoor/door.go
@@ -3,22 +3,13 @@
 package zydoor
 
 import (
-	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"zinniayoke"
 )
 
-// Config configures a Door.
-type Config struct {
-	// ProbeShare is the share of shed requests that are let through, so that a
-	// threshold that has fallen is noticed. 0 means none.
-	ProbeShare float64
-	// Random returns numbers from 0 to below 1.
-	Random func() float64
-}
-
 const (
 	holdTime    = 200 * time.Millisecond
 	forgetTime  = 1 * time.Second
@@ -28,7 +19,6 @@
 // Door decides whether a request may enter. It may be used by several
 // goroutines. A Door must be made with New.
 type Door struct {
-	cfg    Config
 	mu     sync.Mutex
 	routes map[zinniayoke.RouteName]map[zinniayoke.NodeID]told
 }
@@ -39,11 +29,8 @@
 }
 
 // New returns a door that admits everything.
-func New(cfg Config) *Door {
-	if cfg.Random == nil {
-		cfg.Random = rand.Float64
-	}
-	return &Door{cfg: cfg, routes: make(map[zinniayoke.RouteName]map[zinniayoke.NodeID]told)}
+func New() *Door {
+	return &Door{routes: make(map[zinniayoke.RouteName]map[zinniayoke.NodeID]told)}
 }
 
 // Learn notes the threshold that came with an answer of a worker's node.
@@ -61,30 +48,38 @@
 	workers[node] = told{threshold: threshold, at: now}
 }
 
-// Threshold returns the lowest rank that some worker of the route admits.
-// What was not confirmed lately falls to 0 within a second.
+// Threshold returns the lowest rank that half of the workers of the route admit,
+// among those heard of lately. What was not confirmed falls to 0 within a second.
 func (d *Door) Threshold(now time.Time, route zinniayoke.RouteName) zinniayoke.Rank {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	lowest, known := zinniayoke.Rank(0), false
+	var fresh, old []zinniayoke.Rank
 	for _, t := range d.routes[route] {
-		if now.Sub(t.at) > forgetTime {
-			continue
-		}
-		value := relax(t.threshold, now.Sub(t.at))
-		if !known || value < lowest {
-			lowest, known = value, true
+		switch age := now.Sub(t.at); {
+		case age <= holdTime:
+			fresh = append(fresh, t.threshold)
+		case age <= forgetTime:
+			old = append(old, relax(t.threshold, age))
 		}
 	}
-	return lowest
+	if len(fresh) > 0 {
+		return median(fresh)
+	}
+	return median(old)
+}
+
+// median returns the upper median, 0 of none.
+func median(values []zinniayoke.Rank) zinniayoke.Rank {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[len(values)/2]
 }
 
 // Admit reports whether a request of the given rank may enter.
 func (d *Door) Admit(now time.Time, route zinniayoke.RouteName, r zinniayoke.Rank) bool {
-	if r >= d.Threshold(now, route) {
-		return true
-	}
-	return d.cfg.ProbeShare > 0 && d.cfg.Random() < d.cfg.ProbeShare
+	return r >= d.Threshold(now, route)
 }
 
 // relax lowers a threshold that is older than the hold time.
--- a/core/zyexperiment/host.go
+++ b/core/zyexperiment/host.go
@@ -110,7 +110,7 @@
 	h.backlog, h.fifo = nil, nil
 	h.items = make(map[zinniayoke.AttemptID]*simAttempt)
 	h.gate = zyadmission.NewGate(zyadmission.Config{
-		Slots: h.announced(), Started: started, Fixed: h.run.policy == FixedSlots,
+		Slots: h.announced(), Fixed: h.run.policy == FixedSlots,
 	})
 }
 
@@ -247,7 +247,7 @@
 		answered = true
 		r.unused = a.pool.Close()
 		r.threshold = max(to.gate.Threshold(), a.child)
-		r.load = (to.running + len(to.fifo) + to.gate.Waiting()) * 100 / max(to.gate.Limit(h.run.clock.now), 1)
+		r.load = (to.running + len(to.fifo) + to.gate.Waiting()) * 100 / max(to.gate.Limit(), 1)
 		h.run.clock.after(h.distance(to), func() {
 			h.learn(to, began, r)
 			done(r)
--- a/core/zyexperiment/overload.go
+++ b/core/zyexperiment/overload.go
@@ -76,7 +76,6 @@
 	domainHop    = 1 * time.Millisecond
 	regionHop    = 30 * time.Millisecond
 	tickPeriod   = 10 * time.Millisecond
-	probeShare   = 0.01
 	retryShare   = 0.1
 	naiveRetries = 2
 	resendPause  = 5 * time.Millisecond
@@ -123,7 +122,7 @@
 		r.hosts = append(r.hosts, service)
 	}
 	for _, h := range r.all {
-		h.door = zydoor.New(zydoor.Config{ProbeShare: probeShare, Random: r.random.Float64})
+		h.door = zydoor.New()
 		h.picker = zypick.New(zypick.Config{Place: h.place, Roster: r, Random: r.random})
 		r.clock.every(tickPeriod, tickPeriod, h.tick)
 	}
--- a/core/zyhome/home.go
+++ b/core/zyhome/home.go
@@ -40,6 +40,9 @@
 	// Memories returns the nodes that may remember keys and are there, and those
 	// that were lost, with the time.
 	Memories() (there []zinniayoke.NodeID, lost map[zinniayoke.NodeID]time.Time)
+	// Quorum reports whether more than half of the nodes of a failure domain are
+	// there, so that no other part of it can keep the same keys.
+	Quorum(d zinniayoke.Domain) bool
 }
 
 // Config configures a Home.
@@ -58,6 +61,7 @@
 	recallTries   = 4
 	recallPause   = 100 * time.Millisecond
 	mostAsked     = 64
+	longestPause  = 3 * time.Second
 )
 
 // Home runs requests with keys. It may be used by several goroutines. A Home
@@ -65,7 +69,10 @@
 type Home struct {
 	cfg Config
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// beat is when Upkeep ran last. A node that was paused for long does not
+	// know whether it still keeps its keys.
+	beat   time.Time
 	joined map[zinniayoke.Key]*shared
 	// turn holds a token while nobody recovers slots.
 	turn   chan struct{}
@@ -80,7 +87,7 @@
 
 // New returns a home.
 func New(cfg Config) *Home {
-	h := &Home{cfg: cfg, joined: make(map[zinniayoke.Key]*shared), turn: make(chan struct{}, 1)}
+	h := &Home{cfg: cfg, beat: time.Now(), joined: make(map[zinniayoke.Key]*shared), turn: make(chan struct{}, 1)}
 	h.turn <- struct{}{}
 	return h
 }
@@ -93,6 +100,9 @@
 		if !h.mine(slot) {
 			return uncertain(c, zinniayoke.ReasonStaleEpoch, "the key is kept by another node")
 		}
+		if !h.inCharge() {
+			return uncertain(c, zinniayoke.ReasonKeyUncertain, "too few nodes of the home are in reach")
+		}
 		h.mu.Lock()
 		d := h.cfg.Keeper.Claim(time.Now(), slot, c.Key, c.BodyHash, c.Tokens)
 		s := h.join(c, d)
@@ -173,6 +183,10 @@
 	})
 	left := pool.Close()
 	reply.Unused = left
+	if reply.Outcome == zinniayoke.OutcomeNotRun && !(h.inCharge() && h.cfg.Keeper.Holds(d.Grant)) {
+		// Another keeper may have run the key meanwhile.
+		reply.Outcome = zinniayoke.OutcomeUnknown
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.cfg.Keeper.Settle(time.Now(), d.Grant, c.Key, reply, d.Tokens-left)
@@ -206,13 +220,13 @@
 // nowhere before.
 func (h *Home) Note(ctx context.Context, key zinniayoke.Key) bool {
 	slot := zyclaim.SlotOf(h.cfg.Domain, key)
-	if !h.mine(slot) {
+	if !h.mine(slot) || !h.inCharge() {
 		return false
 	}
 	if len(h.cfg.Keeper.Closed([]zinniayoke.Slot{slot})) > 0 && h.Recover(ctx) != nil {
 		return false
 	}
-	return h.cfg.Keeper.Note(time.Now(), slot, key)
+	return h.cfg.Keeper.Note(time.Now(), slot, key) && h.inCharge()
 }
 
 func (h *Home) mine(slot zinniayoke.Slot) bool {
@@ -286,6 +300,28 @@
 	return slots
 }
 
+// inCharge reports whether this node may decide about keys: it has not been
+// paused, and no other part of its failure domain can have taken over.
+func (h *Home) inCharge() bool {
+	h.mu.Lock()
+	paused := time.Since(h.beat) > longestPause
+	h.mu.Unlock()
+	return !paused && h.cfg.Roll.Quorum(h.cfg.Domain)
+}
+
+// Upkeep is to be called each second. After a pause it gives up all slots, so
+// that they are recovered before the next claim.
+func (h *Home) Upkeep(now time.Time) {
+	h.mu.Lock()
+	paused := now.Sub(h.beat) > longestPause
+	h.beat = now
+	h.mu.Unlock()
+	if paused {
+		h.cfg.Keeper.Retain(func(zinniayoke.Slot) bool { return false })
+	}
+	h.Retain()
+}
+
 // Retain gives up the slots that belong to another node now, and those whose
 // recovery missed a node that is there again.
 func (h *Home) Retain() {
--- a/core/zyhome/home_test.go
+++ b/core/zyhome/home_test.go
@@ -35,6 +35,7 @@
 	fate   zinniayoke.Fate
 	lost   map[zinniayoke.NodeID]time.Time
 	runs   int
+	parted bool
 	answer func(a *zinniayoke.Attempt) (*zinniayoke.Reply, error)
 }
 
@@ -48,6 +49,8 @@
 	return []zinniayoke.NodeID{worker}, s.lost
 }
 
+func (s *system) Quorum(zinniayoke.Domain) bool { return !s.parted }
+
 func (s *system) Upstreams(zinniayoke.Service) []zinniayoke.Upstream {
 	return []zinniayoke.Upstream{{Node: worker, Service: svc, State: zinniayoke.WorkerServing}}
 }
@@ -83,7 +86,7 @@
 func newHome(s *system) *zyhome.Home {
 	rules := func() *zybundle.Bundle { return &zybundle.Bundle{} }
 	sender := zyegress.New(zyegress.Config{
-		Peers: wires{s}, Roster: s, Door: zydoor.New(zydoor.Config{}), Budgets: zyattempt.NewBudgets(),
+		Peers: wires{s}, Roster: s, Door: zydoor.New(), Budgets: zyattempt.NewBudgets(),
 		Suspects: zysuspect.New(zysuspect.Config{Most: 10}), Meter: nopMeter{}, Rules: rules,
 		Picker: zypick.New(zypick.Config{Roster: s, Random: rand.New(rand.NewPCG(1, 1))}),
 	})
@@ -136,6 +139,7 @@
 			2, zinniayoke.OutcomeUnknown, zinniayoke.ReasonKeyReused, 0},
 		{"an unknown key while a node is lost", system{lost: map[zinniayoke.NodeID]time.Time{gone: time.Now().Add(time.Hour)}, answer: done},
 			1, zinniayoke.OutcomeUnknown, zinniayoke.ReasonKeyUncertain, 0},
+		{"a new key without a quorum", system{parted: true, answer: done}, 1, zinniayoke.OutcomeUnknown, zinniayoke.ReasonKeyUncertain, 0},
 		{"a node that was lost before the window", system{lost: map[zinniayoke.NodeID]time.Time{gone: {}}, answer: done},
 			1, zinniayoke.OutcomeDone, zinniayoke.ReasonNone, 1},
 	} {
@@ -173,3 +177,28 @@
 		}
 	})
 }
+
+func TestPausedKeeperSaysNothingOfKeys(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &system{}
+		s.answer = func(a *zinniayoke.Attempt) (*zinniayoke.Reply, error) {
+			time.Sleep(time.Minute) // The node is paused here: its upkeep does not run.
+			return &zinniayoke.Reply{Attempt: a.ID, Request: a.Request, Reason: zinniayoke.ReasonStaleEpoch, Outcome: zinniayoke.OutcomeNotRun}, nil
+		}
+		h := newHome(s)
+		c := call(1)
+		c.Deadline = time.Now().Add(2 * time.Minute)
+		reply := h.Run(context.Background(), c, route)
+		if reply.Outcome != zinniayoke.OutcomeUnknown {
+			t.Errorf("outcome %s after a pause, want unknown", reply.Outcome)
+		}
+		s.answer = done
+		if reply := run(h, 1); reply.Outcome != zinniayoke.OutcomeUnknown {
+			t.Errorf("outcome %s before the upkeep, want unknown", reply.Outcome)
+		}
+		h.Upkeep(time.Now())
+		if reply := run(h, 1); reply.Outcome != zinniayoke.OutcomeDone {
+			t.Errorf("outcome %s after the upkeep, want done: %s", reply.Outcome, reply.Detail)
+		}
+	})
+}
--- a/core/zyingress/receiver.go
+++ b/core/zyingress/receiver.go
@@ -358,7 +358,7 @@
 	took := now.Sub(c.started)
 	r.mu.Lock()
 	r.carryOut(now, r.gate.Finish(now, c.attempt.ID, took))
-	limit, running := r.gate.Limit(now), r.gate.Running()
+	limit, running := r.gate.Limit(), r.gate.Running()
 	r.forget(c)
 	r.mu.Unlock()
 	r.cfg.Meter.Attempt(zinniayoke.AttemptSample{
@@ -422,7 +422,7 @@
 	defer r.mu.Unlock()
 	if r.gate != nil {
 		reply.Threshold = r.gate.Threshold()
-		reply.Load = (r.gate.Running() + r.gate.Waiting()) * percent / r.gate.Limit(time.Now())
+		reply.Load = (r.gate.Running() + r.gate.Waiting()) * percent / r.gate.Limit()
 	}
 	return reply
 }
--- a/core/zyingress/worker.go
+++ b/core/zyingress/worker.go
@@ -70,7 +70,7 @@
 		r.worker = connect(a)
 	}
 	if fresh {
-		r.newGate(now, a)
+		r.newGate(a)
 	}
 	r.gate.Announce(a.Slots)
 	r.told, r.toldAt = a, now
@@ -79,14 +79,9 @@
 
 // newGate starts over for a worker that has restarted. Calls that wait move on
 // by their own contexts; calls that run are lost with the old worker.
-func (r *Receiver) newGate(now time.Time, a Announcement) {
-	cfg := zyadmission.Config{Slots: a.Slots, Started: now}
-	rules := r.cfg.Rules()
-	if rules != nil && r.worker != nil && r.gate != nil {
-		cfg.WarmUp = rules.Services[a.Service].WarmUp
-	}
+func (r *Receiver) newGate(a Announcement) {
 	old := r.gate
-	r.gate = zyadmission.NewGate(cfg)
+	r.gate = zyadmission.NewGate(zyadmission.Config{Slots: a.Slots})
 	r.crashed = false
 	if old == nil {
 		return
@@ -130,7 +125,7 @@
 		return Load{}
 	}
 	return Load{
-		Limit: r.gate.Limit(time.Now()), Running: r.gate.Running(),
+		Limit: r.gate.Limit(), Running: r.gate.Running(),
 		Waiting: r.gate.Waiting(), Threshold: r.gate.Threshold(),
 	}
 }
--- a/core/zymember/merge.go
+++ b/core/zymember/merge.go
@@ -89,7 +89,7 @@
 
 // supersede ends the earlier runs of a host's node when a later one appears.
 func (t *Table) supersede(now time.Time, c Change) {
-	host := hostOf(c.Upstream.Node)
+	host := HostOf(c.Upstream.Node)
 	last, ok := t.latest[host]
 	if ok && laterRun(last, c.Upstream.Node) {
 		return
@@ -105,7 +105,7 @@
 }
 
 func (t *Table) superseded(id zinniayoke.NodeID) bool {
-	last, ok := t.latest[hostOf(id)]
+	last, ok := t.latest[HostOf(id)]
 	return ok && last != id && laterRun(last, id)
 }
 
--- a/core/zymember/table.go
+++ b/core/zymember/table.go
@@ -93,13 +93,13 @@
 	}
 	t.self = Change{Upstream: cfg.Self, Status: zinniayoke.MemberAlive, Counter: 1}
 	t.members[cfg.Self.Node] = &Member{Upstream: cfg.Self, Counter: 1, Since: now}
-	t.latest[hostOf(cfg.Self.Node)] = cfg.Self.Node
+	t.latest[HostOf(cfg.Self.Node)] = cfg.Self.Node
 	t.tell(t.self)
 	return t
 }
 
-// hostOf returns the name of the host in a node's id.
-func hostOf(id zinniayoke.NodeID) string {
+// HostOf returns the name of the host in a node's id.
+func HostOf(id zinniayoke.NodeID) string {
 	host, _, _ := strings.Cut(string(id), "/")
 	return host
 }
@@ -273,7 +273,7 @@
 func (t *Table) randomDead() (zinniayoke.NodeID, bool) {
 	var dead []zinniayoke.NodeID
 	for id, m := range t.members {
-		if m.Status == zinniayoke.MemberDead && t.latest[hostOf(id)] == id {
+		if m.Status == zinniayoke.MemberDead && t.latest[HostOf(id)] == id {
 			dead = append(dead, id)
 		}
 	}
--- a/core/zypick/picker.go
+++ b/core/zypick/picker.go
@@ -26,6 +26,10 @@
 	thresholdAge       = 200 * time.Millisecond
 	latencyWeight      = 0.2
 	tiers              = 3
+	// Distances count as load: the share of a worker's limit that a call may find
+	// busy nearby before it goes further.
+	regionDistance = 0.2
+	beyondDistance = 1.0
 )
 
 // Picker keeps what this node observed of each upstream. It may be used by
@@ -59,17 +63,27 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	all := p.usable(now, p.cfg.Roster.Upstreams(s), exclude)
-	for tier := range tiers {
-		if u, ok := p.better(now, p.withRoom(now, r, p.inTier(all, tier))); ok {
-			return u, true
-		}
+	if u, ok := p.nearest(now, p.withRoom(now, r, all)); ok {
+		return u, true
 	}
-	for tier := range tiers {
-		if u, ok := p.better(now, p.inTier(all, tier)); ok {
-			return u, true
+	return p.nearest(now, all)
+}
+
+// nearest takes the better of two in each tier and weighs their load against
+// the distance, so that calls move on before their own failure domain is full.
+func (p *Picker) nearest(now time.Time, all []zinniayoke.Upstream) (zinniayoke.Upstream, bool) {
+	var best zinniayoke.Upstream
+	lowest, found := 0.0, false
+	for tier, distance := range []float64{0, regionDistance, beyondDistance} {
+		u, ok := p.better(now, p.inTier(all, tier))
+		if !ok {
+			continue
+		}
+		if score := p.score(now, u) + distance; !found || score < lowest {
+			best, lowest, found = u, score, true
 		}
 	}
-	return zinniayoke.Upstream{}, false
+	return best, found
 }
 
 // usable leaves out what drains, is excluded or was set aside. Of those set
@@ -151,7 +165,7 @@
 	if now.Sub(o.told) < thresholdAge {
 		score = max(score, float64(o.load)/percent)
 	}
-	return score * (1 + o.latency.Seconds())
+	return score
 }
 
 // Start notes that an attempt goes out.
--- a/io/zynode/node.go
+++ b/io/zynode/node.go
@@ -63,7 +63,6 @@
 	mostAnswerBytes = 32 * zinniayoke.MiB
 	keepAttempts    = 1 * time.Minute
 	firstKeyWindow  = 10 * time.Minute
-	probeShare      = 0.01
 	drainNotice     = 300 * time.Millisecond
 	headerTimeout   = 10 * time.Second
 )
@@ -220,7 +219,7 @@
 	n.keeper = zyclaim.NewKeeper(zyclaim.KeeperConfig{Node: n.id, Most: mostKeys, Window: firstKeyWindow})
 	n.fence = zyfence.New(zyfence.Config{Most: mostAttempts, MostBytes: mostAnswerBytes, Keep: keepAttempts})
 	parents := &zyparent.Table{}
-	door := zydoor.New(zydoor.Config{ProbeShare: probeShare})
+	door := zydoor.New()
 	n.picker = zypick.New(zypick.Config{
 		Place: n.cfg.Settings.Place, Roster: n.view, Random: rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1)),
 	})
@@ -385,6 +384,7 @@
 }
 
 func (n *Node) upkeep(now time.Time) {
+	n.home.Upkeep(now)
 	n.keeper.Sweep(now)
 	n.picker.Sweep(now)
 	n.updateSelf()
--- a/io/zynode/view.go
+++ b/io/zynode/view.go
@@ -29,6 +29,10 @@
 	byNode    map[zinniayoke.NodeID]zymember.Member
 	byService map[zinniayoke.Service][]zinniayoke.Upstream
 	keepers   map[zinniayoke.Domain][]zinniayoke.NodeID
+	// here and lost count the hosts of each failure domain. A host is lost until
+	// it is replaced by a later run or forgotten.
+	here map[zinniayoke.Domain]int
+	lost map[zinniayoke.Domain]int
 }
 
 func newView(self zinniayoke.NodeID, rules func() *zybundle.Bundle) *view {
@@ -53,10 +57,13 @@
 		byNode:    make(map[zinniayoke.NodeID]zymember.Member, len(members)),
 		byService: make(map[zinniayoke.Service][]zinniayoke.Upstream),
 		keepers:   make(map[zinniayoke.Domain][]zinniayoke.NodeID),
+		here:      make(map[zinniayoke.Domain]int),
+		lost:      make(map[zinniayoke.Domain]int),
 	}
 	for _, m := range members {
 		s.add(m)
 	}
+	s.count()
 	v.current.Store(s)
 }
 
@@ -72,6 +79,29 @@
 	}
 }
 
+// count counts hosts by their latest run.
+func (s *snapshot) count() {
+	latest := make(map[string]zymember.Member)
+	for _, m := range s.members {
+		latest[zymember.HostOf(m.Upstream.Node)] = m // Members are in the order of their runs.
+	}
+	for _, m := range latest {
+		switch {
+		case isHere(m):
+			s.here[m.Upstream.Place.Domain]++
+		case m.Status == zinniayoke.MemberDead:
+			s.lost[m.Upstream.Place.Domain]++
+		}
+	}
+}
+
+// Quorum reports whether more than half of the hosts of a failure domain are
+// there.
+func (v *view) Quorum(d zinniayoke.Domain) bool {
+	s := v.current.Load()
+	return s.here[d] > s.lost[d]
+}
+
 func isHere(m zymember.Member) bool {
 	return m.Status == zinniayoke.MemberAlive || m.Status == zinniayoke.MemberSuspect
 }
--- a/path_test.go
+++ b/path_test.go
@@ -102,6 +102,8 @@
 	duplicate   float64
 	cross       float64
 	crashWorker float64
+	// slow delays messages on their way out.
+	slow float64
 }
 
 var (
@@ -118,6 +120,7 @@
 
 	silence  = 1 * time.Second
 	lateness = 3 * time.Second
+	slowness = 200 * time.Millisecond
 )
 
 // world is a handful of hosts whose nodes are real and whose wires and workers
@@ -235,7 +238,7 @@
 	keeper := zyclaim.NewKeeper(zyclaim.KeeperConfig{Node: h.id, Most: 10000, Window: w.rules.KeyWindow})
 	suspects := zysuspect.New(zysuspect.Config{Most: 100})
 	parents := &zyparent.Table{}
-	door := zydoor.New(zydoor.Config{})
+	door := zydoor.New()
 	h.receiver = zyingress.New(zyingress.Config{
 		Node: h.id, Rules: rules, Grants: grants, Suspects: suspects, Parents: parents, Timer: w.timer, Meter: nopMeter{},
 		Fence: zyfence.New(zyfence.Config{Most: 10000, MostBytes: zinniayoke.MiB, Keep: time.Minute}),
@@ -268,7 +271,12 @@
 func (w *world) announceAll(time.Time) {
 	for _, h := range w.list() {
 		h.announce()
-		h.home.Retain()
+		w.mu.Lock()
+		paused := h.paused != nil
+		w.mu.Unlock()
+		if !paused {
+			h.home.Upkeep(time.Now())
+		}
 	}
 }
 
@@ -327,6 +335,21 @@
 	return list
 }
 
+// Quorum implements zyhome.Roll.
+func (h *host) Quorum(d zinniayoke.Domain) bool {
+	here, all := 0, 0
+	for _, other := range h.world.list() {
+		if other.place.Domain != d {
+			continue
+		}
+		all++
+		if h.sees(other) {
+			here++
+		}
+	}
+	return 2*here > all
+}
+
 // Memories implements zyhome.Roll.
 func (h *host) Memories() ([]zinniayoke.NodeID, map[zinniayoke.NodeID]time.Time) {
 	var there []zinniayoke.NodeID
@@ -387,6 +410,9 @@
 	f := w.faults
 	w.mu.Unlock()
 	target := w.find(to.Node)
+	if w.chance(f.slow) {
+		time.Sleep(slowness)
+	}
 	if err := h.reach(ctx, target); err != nil {
 		return nil, err
 	}
--- a/promise_test.go
+++ b/promise_test.go
@@ -147,6 +147,18 @@
 	}
 }
 
+// split cuts the first hosts off from the others, whatever their domain.
+func (w *world) split(hosts int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i, h := range w.hosts {
+		h.side = 0
+		if i < hosts {
+			h.side = 1
+		}
+	}
+}
+
 // pausedSide is where the others see a paused host: out of reach.
 const pausedSide = 9
 
@@ -170,6 +182,31 @@
 	}()
 }
 
+// freezeKeeper freezes the keeper of a key while its grant is on the way, until
+// the window of the key has passed and another send of it was answered.
+func (w *world) freezeKeeper(first, second *host, key string) {
+	home := zinniayoke.Domain("d0")
+	slot := zyclaim.SlotOf(home, zinniayoke.Key("c\x00front/order\x00"+key))
+	keeper := w.find(zyclaim.KeeperOf(slot, first.Keepers(home)))
+	if keeper == nil {
+		return
+	}
+	w.setSlow(1)
+	w.send(first, key, "/order")
+	time.Sleep(slowness / 2)
+	w.pause(keeper, keyWindow+2*time.Second)
+	w.setSlow(0)
+	time.Sleep(keyWindow + time.Second)
+	w.send(second, key, "/order")
+	time.Sleep(2 * time.Second)
+}
+
+func (w *world) setSlow(chance float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults.slow = chance
+}
+
 // end waits until nothing is under way any more.
 func (w *world) end() {
 	w.part(false)
@@ -210,11 +247,13 @@
 			w.faults = f
 			w.mu.Unlock()
 		},
-		"crash":  func(t *rapid.T) { w.crash(anyHost()) },
-		"stop":   func(t *rapid.T) { w.stop(t, anyHost()) },
-		"part":   func(t *rapid.T) { w.part(true) },
-		"heal":   func(t *rapid.T) { w.part(false) },
-		"freeze": func(t *rapid.T) { w.pause(anyHost(), time.Duration(rapid.IntRange(1, 8).Draw(t, "s"))*time.Second) },
+		"crash":        func(t *rapid.T) { w.crash(anyHost()) },
+		"stop":         func(t *rapid.T) { w.stop(t, anyHost()) },
+		"part":         func(t *rapid.T) { w.part(true) },
+		"split":        func(t *rapid.T) { w.split(rapid.IntRange(1, 5).Draw(t, "hosts")) },
+		"heal":         func(t *rapid.T) { w.part(false) },
+		"freeze":       func(t *rapid.T) { w.pause(anyHost(), time.Duration(rapid.IntRange(1, 8).Draw(t, "s"))*time.Second) },
+		"freezeKeeper": func(t *rapid.T) { w.freezeKeeper(anyHost(), anyHost(), anyKey()) },
 		"": func(*rapid.T) {
 			*steps++
 			synctest.Wait()
