--- a/core/zyadmission/limit.go
+++ b/core/zyadmission/limit.go
@@ -129,7 +129,7 @@
 	} else {
 		l.lowerPause = min(l.lowerPause*2, longestPause)
 	}
-	l.settle(now, true)
+	l.settle(now)
 }
 
 // prove remembers how many calls at once the worker has run at full speed. The
@@ -155,7 +155,7 @@
 	case l.trial == lowered:
 		l.judgeLower(now, mean)
 	case !saturated && !crowded:
-		l.settle(now, true)
+		l.settle(now)
 		l.learnBase(mean, together)
 	case l.trial == raised:
 		l.judgeRaise(now, mean)
@@ -212,7 +212,7 @@
 		return
 	}
 	l.raisePause = min(l.raisePause*2, longestPause)
-	l.settle(now, true)
+	l.settle(now)
 }
 
 func (l *Limit) judgeLower(now time.Time, mean time.Duration) {
@@ -226,20 +226,18 @@
 	// The calls are as slow with fewer at once: the service itself is slow.
 	l.base = l.reference
 	l.lowerPause = min(l.lowerPause*2, longestPause)
-	l.settle(now, true)
+	l.settle(now)
 }
 
-// settle ends a trial, with the old limit where undo is true.
-func (l *Limit) settle(now time.Time, undo bool) {
+// settle ends a trial and goes back to the old limit.
+func (l *Limit) settle(now time.Time) {
 	if l.trial == noTrial {
 		return
 	}
 	l.trial = noTrial
 	l.raiseAt = now.Add(l.raisePause)
 	l.lowerAt = now.Add(l.lowerPause)
-	if undo {
-		l.set(now, l.before)
-	}
+	l.set(now, l.before)
 }
 
 // elastic is the relative change of the time of a call by the relative change
--- a/core/zyexperiment/member.go
+++ b/core/zyexperiment/member.go
@@ -49,17 +49,16 @@
 
 // memberRun is one run.
 type memberRun struct {
-	cfg      MemberConfig
-	clock    *clock
-	random   *rand.Rand
-	tables   map[string]*zymember.Table
-	address  []string
-	ids      map[string]zinniayoke.NodeID
-	dead     map[string]bool
-	bytes    int64
-	packets  int64
-	key      []byte
-	failures int
+	cfg     MemberConfig
+	clock   *clock
+	random  *rand.Rand
+	tables  map[string]*zymember.Table
+	address []string
+	ids     map[string]zinniayoke.NodeID
+	dead    map[string]bool
+	bytes   int64
+	packets int64
+	key     []byte
 }
 
 // RunMembers lets the members run, crashes some, changes one, and measures.
@@ -93,7 +92,7 @@
 }
 
 func (r *memberRun) build() {
-	var all []zymember.Change
+	all := make([]zymember.Change, 0, r.cfg.Members)
 	for i := range r.cfg.Members {
 		address := fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250)
 		u := zinniayoke.Upstream{
--- a/core/zyexperiment/overload.go
+++ b/core/zyexperiment/overload.go
@@ -113,7 +113,7 @@
 
 func (r *run) build() {
 	for depth := range r.scenario.Depth {
-		var service []*simHost
+		service := make([]*simHost, 0, domains)
 		for d := range domains {
 			h := newSimHost(r, depth, d)
 			service = append(service, h)
@@ -187,11 +187,10 @@
 
 // root is one call of a caller with its re-sends.
 type root struct {
-	load    Load
-	caller  int
-	began   time.Time
-	sends   int
-	pending bool
+	load   Load
+	caller int
+	began  time.Time
+	sends  int
 }
 
 func (r *run) root(l Load, caller int) {
--- a/core/zyexperiment/scenario.go
+++ b/core/zyexperiment/scenario.go
@@ -15,9 +15,10 @@
 
 // Scenarios returns the scenarios for both deployments and both depths.
 func Scenarios(seed uint64) []Scenario {
+	depths := []int{3, 9}
 	var list []Scenario
 	for _, s := range sizes() {
-		for _, depth := range []int{3, 9} {
+		for _, depth := range depths {
 			list = append(list, scenariosOf(s, depth, seed)...)
 		}
 	}
--- a/core/zyhome/home.go
+++ b/core/zyhome/home.go
@@ -183,7 +183,7 @@
 	})
 	left := pool.Close()
 	reply.Unused = left
-	if reply.Outcome == zinniayoke.OutcomeNotRun && !(h.inCharge() && h.cfg.Keeper.Holds(d.Grant)) {
+	if reply.Outcome == zinniayoke.OutcomeNotRun && !h.decides(d.Grant) {
 		// Another keeper may have run the key meanwhile.
 		reply.Outcome = zinniayoke.OutcomeUnknown
 	}
@@ -300,6 +300,12 @@
 	return slots
 }
 
+// decides reports whether what happened under a grant is still this node's to
+// tell.
+func (h *Home) decides(g zinniayoke.Grant) bool {
+	return h.inCharge() && h.cfg.Keeper.Holds(g)
+}
+
 // inCharge reports whether this node may decide about keys: it has not been
 // paused, and no other part of its failure domain can have taken over.
 func (h *Home) inCharge() bool {
--- a/promise_test.go
+++ b/promise_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -57,21 +58,21 @@
 	switch reply.Outcome {
 	case zinniayoke.OutcomeDone:
 		if reply.Answer == nil || string(reply.Answer.Body) != body {
-			w.problem("request %s got the answer of another: %+v", result.Request, reply.Answer)
+			w.problemf("request %s got the answer of another: %+v", result.Request, reply.Answer)
 		}
 	case zinniayoke.OutcomeNotRun:
 		if n := w.oracle.byReq[result.Request]; n > 0 {
-			w.problem("request %s was told notRun and ran %d times", result.Request, n)
+			w.problemf("request %s was told notRun and ran %d times", result.Request, n)
 		}
 		ran, ok := w.oracle.ran["c\x00front/order\x00"+key]
 		if key != "" && ok && time.Since(ran) < keyWindow {
-			w.problem("key %s was told notRun and had run %s before", key, time.Since(ran))
+			w.problemf("key %s was told notRun and had run %s before", key, time.Since(ran))
 		}
 	case zinniayoke.OutcomeUnknown:
 	}
 }
 
-func (w *world) problem(format string, args ...any) {
+func (w *world) problemf(format string, args ...any) {
 	w.oracle.problems = append(w.oracle.problems, fmt.Sprintf(format, args...))
 }
 
@@ -79,7 +80,7 @@
 func (w *world) check() string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	problems := append(w.oracle.problems, w.oracle.doubled...)
+	problems := slices.Concat(w.oracle.problems, w.oracle.doubled)
 	for request, n := range w.oracle.sends {
 		if n > mostSends {
 			problems = append(problems, fmt.Sprintf("request %s caused %d sends; %d are allowed", request, n, mostSends))
