--- a/core/zyagreement/state.go
+++ b/core/zyagreement/state.go
@@ -1,6 +1,8 @@
 package zyagreement
 
 import (
+	"errors"
+
 	"zinniayoke"
 	"zinniayoke/core/zybundle"
 )
@@ -97,6 +99,10 @@
 	if err != nil {
 		s.skipped++
 	}
+	var wrong *RecordError
+	if errors.As(err, &wrong) {
+		wrong.Offset = r.Offset
+	}
 	return changed, err
 }
 
--- a/core/zyhome/home.go
+++ b/core/zyhome/home.go
@@ -141,18 +141,26 @@
 		go h.run(c, route, d, s)
 		return wait(ctx, c, s)
 	case zyclaim.StepJoin:
-		return wait(ctx, c, s)
+		reply, again := wait(ctx, c, s)
+		return free(c, reply), again
 	case zyclaim.StepAnswer:
-		return d.Reply, false
+		return free(c, d.Reply), false
 	case zyclaim.StepAsk:
 		return h.ask(ctx, c, d)
 	case zyclaim.StepReused:
-		return uncertain(c, zinniayoke.ReasonKeyReused, "the key came with another body before"), false
+		return free(c, uncertain(c, zinniayoke.ReasonKeyReused, "the key came with another body before")), false
 	case zyclaim.StepSpent:
 		return notRun(c, zinniayoke.ReasonAttemptsSpent, "the sends of this key have used up its attempts"), false
 	case zyclaim.StepUncertain:
 	}
-	return uncertain(c, zinniayoke.ReasonKeyUncertain, "a node that may have run this key is out of reach"), false
+	return free(c, uncertain(c, zinniayoke.ReasonKeyUncertain, "a node that may have run this key is out of reach")), false
+}
+
+// free returns the reply for a send that caused no attempts of its own.
+func free(c *zinniayoke.Call, reply *zinniayoke.Reply) *zinniayoke.Reply {
+	own := *reply
+	own.Unused = c.Tokens
+	return &own
 }
 
 func wait(ctx context.Context, c *zinniayoke.Call, s *shared) (*zinniayoke.Reply, bool) {
