zyhome: split attempts between the keepers of a request

Change: the first keeper gets all but what one run needs, the next the rest; after a change of keeper notRun is not claimed. The loop is in core now, so the test runs the same code as the node.

--- a/core/zyclaim/keeper.go
+++ b/core/zyclaim/keeper.go
@@ -127,6 +127,9 @@
 	if k.blocked(now, s) || k.keys >= k.cfg.Most {
 		return Decision{Step: StepUncertain}
 	}
+	if allowance < 1 {
+		return Decision{Step: StepSpent}
+	}
 	s.keys[key] = &keyState{bodyHash: bodyHash, running: true, at: now}
 	k.keys++
 	return Decision{Step: StepRun, Grant: zinniayoke.Grant{Slot: slot, Epoch: s.epoch}, Tokens: allowance}
--- a/core/zyhome/home.go
+++ b/core/zyhome/home.go
@@ -98,10 +98,10 @@
 	slot := zyclaim.SlotOf(h.cfg.Domain, c.Key)
 	for ctx.Err() == nil {
 		if !h.mine(slot) {
-			return uncertain(c, zinniayoke.ReasonStaleEpoch, "the key is kept by another node")
+			return free(c, uncertain(c, zinniayoke.ReasonStaleEpoch, "the key is kept by another node"))
 		}
 		if !h.inCharge() {
-			return uncertain(c, zinniayoke.ReasonKeyUncertain, "too few nodes of the home are in reach")
+			return free(c, uncertain(c, zinniayoke.ReasonKeyUncertain, "too few nodes of the home are in reach"))
 		}
 		h.mu.Lock()
 		d := h.cfg.Keeper.Claim(time.Now(), slot, c.Key, c.BodyHash, c.Tokens)
@@ -243,7 +243,7 @@
 
 func (h *Home) recoverFor(ctx context.Context, c *zinniayoke.Call) (*zinniayoke.Reply, bool) {
 	if err := h.Recover(ctx); err != nil {
-		return uncertain(c, zinniayoke.ReasonKeyUncertain, err.Error()), false
+		return free(c, uncertain(c, zinniayoke.ReasonKeyUncertain, err.Error())), false
 	}
 	return nil, true
 }
--- a/io/zynode/keepers.go
+++ b/io/zynode/keepers.go
@@ -6,13 +6,12 @@
 
 	"zinniayoke"
 	"zinniayoke/core/zybundle"
-	"zinniayoke/core/zyclaim"
 	"zinniayoke/core/zyhome"
 	"zinniayoke/io/zypeer"
 )
 
-// keepers finds the keeper of a key, on this node or another. It implements
-// zyentry.Keepers and zyhome.Elders.
+// keepers reaches the keepers of keys, on this node or another. It implements
+// zyhome.Elders.
 type keepers struct {
 	node   zinniayoke.NodeID
 	view   *view
@@ -23,44 +22,41 @@
 	ask    func(id zinniayoke.AttemptID) (*zinniayoke.AskReply, error)
 }
 
-const keeperPause = 100 * time.Millisecond
+// booker returns what brings requests from this entry to their keepers.
+func (k *keepers) booker() *zyhome.Booker {
+	return zyhome.NewBooker(zyhome.BookerConfig{
+		Keepers: k.view.Keepers, Book: k.bookAt, Note: k.noteAt,
+		Need: func(r zinniayoke.RouteName) zinniayoke.Tokens {
+			if route, ok := k.rules().Routes[r]; ok {
+				return 1 + route.Calls
+			}
+			return 1
+		},
+	})
+}
 
-// Run lets the keeper of the key run the request. A keeper that does not answer
-// is asked again, or its successor is; the key makes that safe.
-func (k *keepers) Run(ctx context.Context, home zinniayoke.Domain, c *zinniayoke.Call) *zinniayoke.Reply {
-	last := unknown(c, zinniayoke.ReasonHomeUnreachable, "no node of the caller's home is at hand")
-	for ctx.Err() == nil {
-		reply, done := k.try(ctx, home, c)
-		if done {
-			return reply
-		}
-		if reply != nil {
-			last = reply
-		}
-		sleep(ctx, keeperPause)
+// bookAt lets a node run a request whose key it keeps.
+func (k *keepers) bookAt(ctx context.Context, node zinniayoke.NodeID, c *zinniayoke.Call) (*zinniayoke.Reply, error) {
+	if node == k.node {
+		return k.book(ctx, c), nil
+	}
+	u, ok := k.view.Find(node)
+	if !ok {
+		return nil, &UnknownNodeError{Node: node}
 	}
-	return last
+	return k.client.Book(ctx, u.Peer, c)
 }
 
-// try reports true where the reply is final.
-func (k *keepers) try(ctx context.Context, home zinniayoke.Domain, c *zinniayoke.Call) (*zinniayoke.Reply, bool) {
-	id := zyclaim.KeeperOf(zyclaim.SlotOf(home, c.Key), k.view.Keepers(home))
-	if id == "" {
-		return unknown(c, zinniayoke.ReasonHomeUnreachable, "no node of the caller's home is at hand"), true
-	}
-	if id == k.node {
-		reply := k.book(ctx, c)
-		return reply, reply.Reason != zinniayoke.ReasonStaleEpoch
+// noteAt asks a node whether a key ran nowhere.
+func (k *keepers) noteAt(ctx context.Context, node zinniayoke.NodeID, key zinniayoke.Key) (bool, error) {
+	if node == k.node {
+		return k.home.Note(ctx, key), nil
 	}
-	u, ok := k.view.Find(id)
+	u, ok := k.view.Find(node)
 	if !ok {
-		return nil, false
-	}
-	reply, err := k.client.Book(ctx, u.Peer, c)
-	if err != nil {
-		return unknown(c, zinniayoke.ReasonHomeUnreachable, err.Error()), false
+		return false, &UnknownNodeError{Node: node}
 	}
-	return reply, reply.Reason != zinniayoke.ReasonStaleEpoch
+	return k.client.Note(ctx, u.Peer, key)
 }
 
 // book runs a request whose key this node keeps.
@@ -76,20 +72,6 @@
 	return k.home.Run(ctx, c, route)
 }
 
-// Note reports whether the keeper confirms that the key ran nowhere.
-func (k *keepers) Note(ctx context.Context, home zinniayoke.Domain, key zinniayoke.Key) bool {
-	id := zyclaim.KeeperOf(zyclaim.SlotOf(home, key), k.view.Keepers(home))
-	if id == k.node {
-		return k.home.Note(ctx, key)
-	}
-	u, ok := k.view.Find(id)
-	if !ok {
-		return false
-	}
-	confirmed, err := k.client.Note(ctx, u.Peer, key)
-	return err == nil && confirmed
-}
-
 // Recall asks a node, which may be this one, for a promise.
 func (k *keepers) Recall(ctx context.Context, node zinniayoke.NodeID, slots []zinniayoke.Slot, epoch zinniayoke.Epoch) (*zyhome.Recall, error) {
 	if node == k.node {
--- a/io/zynode/node.go
+++ b/io/zynode/node.go
@@ -241,7 +241,7 @@
 	})
 	n.keepers.home = n.home
 	n.entry = zyentry.New(zyentry.Config{
-		Rules: n.book.Rules, Parents: parents, Door: door, Sender: sender, Keepers: n.keepers,
+		Rules: n.book.Rules, Parents: parents, Door: door, Sender: sender, Keepers: n.keepers.booker(),
 		Suspects: n.suspects, Shares: zyrank.NewShares(), Meter: n.meter,
 	})
 }
--- a/path_test.go
+++ b/path_test.go
@@ -253,7 +253,7 @@
 		Node: h.id, Domain: h.place.Domain, Keeper: keeper, Sender: sender, Rules: rules, Elders: elders{h}, Roll: h,
 	})
 	h.entry = zyentry.New(zyentry.Config{
-		Rules: rules, Parents: parents, Door: door, Sender: sender, Keepers: keepers{h}, Suspects: suspects,
+		Rules: rules, Parents: parents, Door: door, Sender: sender, Keepers: h.booker(), Suspects: suspects,
 		Shares: zyrank.NewShares(), Meter: nopMeter{},
 	})
 }
@@ -533,26 +533,29 @@
 	return target.receiver.Ask(id)
 }
 
-// keepers implements zyentry.Keepers.
-type keepers struct{ h *host }
-
-func (k keepers) Run(ctx context.Context, home zinniayoke.Domain, c *zinniayoke.Call) *zinniayoke.Reply {
-	for ctx.Err() == nil {
-		target := k.h.world.find(zyclaim.KeeperOf(zyclaim.SlotOf(home, c.Key), k.h.Keepers(home)))
-		if err := k.h.reach(ctx, target); err == nil {
-			reply := target.home.Run(ctx, c, k.h.world.rules.Routes[c.Route])
-			if err := k.h.reach(ctx, target); err == nil && reply.Reason != zinniayoke.ReasonStaleEpoch {
-				return reply
+// booker brings requests to their keepers over the wires.
+func (h *host) booker() *zyhome.Booker {
+	w := h.world
+	return zyhome.NewBooker(zyhome.BookerConfig{
+		Keepers: h.Keepers,
+		Need:    func(r zinniayoke.RouteName) zinniayoke.Tokens { return 1 + w.rules.Routes[r].Calls },
+		Book: func(ctx context.Context, node zinniayoke.NodeID, c *zinniayoke.Call) (*zinniayoke.Reply, error) {
+			target := w.find(node)
+			if err := h.reach(ctx, target); err != nil {
+				return nil, err
 			}
-		}
-		quiet(ctx, 100*time.Millisecond)
-	}
-	return &zinniayoke.Reply{Request: c.Request, Reason: zinniayoke.ReasonHomeUnreachable}
-}
-
-func (k keepers) Note(ctx context.Context, home zinniayoke.Domain, key zinniayoke.Key) bool {
-	target := k.h.world.find(zyclaim.KeeperOf(zyclaim.SlotOf(home, key), k.h.Keepers(home)))
-	return k.h.reach(ctx, target) == nil && target.home.Note(ctx, key)
+			call := *c
+			reply := target.home.Run(ctx, &call, w.rules.Routes[c.Route])
+			return reply, h.reach(ctx, target)
+		},
+		Note: func(ctx context.Context, node zinniayoke.NodeID, key zinniayoke.Key) (bool, error) {
+			target := w.find(node)
+			if err := h.reach(ctx, target); err != nil {
+				return false, err
+			}
+			return target.home.Note(ctx, key), nil
+		},
+	})
 }
 
 // worker implements zinniayoke.Worker.
