zyhome: move a caller's home without doubling its keys

Cause: a bundle could move a caller's home with movedFrom, but nothing asked the old home for its keys. Change: the keeper of the new home asks the old one for each key that it does not know; the old one answers, or gives the key up for good. keyWindow has to be at least twice the timeout of never-repeat routes. Tests for bundles and settings.

--- /dev/null
+++ b/core/zybundle/bundle_test.go
@@ -0,0 +1,207 @@
+package zybundle_test
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strings"
+	"testing"
+
+	"zinniayoke"
+	"zinniayoke/core/zybundle"
+	"zinniayoke/core/zyini"
+	"zinniayoke/examples"
+)
+
+func example(t testing.TB, name string) string {
+	t.Helper()
+	text, err := examples.Files.ReadFile(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+func TestExamplesAreGood(t *testing.T) {
+	for _, name := range []string{"hollander.bundle.ini", "tabighi.bundle.ini"} {
+		b, err := zybundle.Parse(name, []byte(example(t, name)))
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		if len(b.Domains) != 4 || len(b.Services) != 4 || len(b.Routes) != 5 {
+			t.Errorf("%s: %d domains, %d services, %d routes", name, len(b.Domains), len(b.Services), len(b.Routes))
+		}
+	}
+}
+
+// TestParseRejects changes one line of a good bundle and looks for the problem.
+func TestParseRejects(t *testing.T) {
+	good := example(t, "hollander.bundle.ini")
+	for _, c := range []struct {
+		old, new, want string
+	}{
+		{"version = 1", "version = 0", "[bundle] version: found \"0\"; accepted: a whole number from 1"},
+		{"version = 1", "", "[bundle] version: found no value"},
+		{"keyWindow = 10m", "keyWindow = 10", "accepted: a duration with its unit"},
+		{"keyWindow = 10m", "keyWindow = 500ms", "keyWindow: found \"500ms\""},
+		{"keyWindow = 10m", "keyWindov = 10m", "keyWindov: found an unknown key; accepted: anonymous, approvals"},
+		{"keyWindow = 10m", "keyWindow = 10m\nkeyWindow = 11m", "found the key again"},
+		{"[domain yame]", "[domain kurume]", "found a second section of this name; the first is on line"},
+		{"[domain yame]", "[domian yame]", "found an unknown section"},
+		{"[domain yame]", "[domain yame", "accepted: [kind] or [kind name]"},
+		{"[class lookup]", "[class]", "found no name; accepted: [class name]"},
+		{"rate = 30Mbit", "rate = 30", "accepted: bits a second with their unit"},
+		{"[link chikugo/satsuma]", "[link chikugo]", "two regions with a slash between"},
+		{"[link chikugo/satsuma]", "[link chikugo/mars]", "found region mars"},
+		{"defaultHome = kurume", "defaultHome = mars", "found domain mars; accepted: a failure domain"},
+		{"approvals = 1", "approvals = 2", "2 approvals with 2 approvers"},
+		{"class = order", "class = gold", "found class gold"},
+		{"service = orderdesk", "service = desk", "found service desk"},
+		{"method = GET\npath = /gaps", "method = GOT\npath = /gaps", "accepted: one of GET"},
+		{"path = /gaps", "path = gaps", "a pattern that begins with a slash"},
+		{"path = /gaps", "path = /{a", "accepted: a pattern such as /orders/{id}"},
+		{"path = /capacity", "path = /regrinds\n# ", ""},
+		{"attempts = 10", "attempts = 3", "found 3 with 3 calls; accepted: at least one more than calls"},
+		{"retryBudget = 10%", "retryBudget = 110%", "accepted: a share from 0% to 100%"},
+		{"keyWindow = 10m", "keyWindow = 5s", "a keyWindow of at least twice the timeout"},
+		{"neverRepeat = true", "neverRepeat = yes", "accepted: true or false"},
+		{"timeout = 3s", "timeout = 20m", "timeout: found \"20m\""},
+		{"urgency = 5", "urgency = 16", "accepted: a whole number from 0 to 15"},
+		{"home = yame", "home = mars", "found domain mars"},
+		{"[bundle]", "x = 1\n[bundle]", "accepted: a section header first"},
+		{"approvals = 1", "approvals : 1", "accepted: key = value without quotes"},
+	} {
+		_, err := zybundle.Parse("b.ini", []byte(strings.Replace(good, c.old, c.new, 1)))
+		if c.want == "" {
+			if err != nil {
+				t.Errorf("%q: %v", c.new, err)
+			}
+			continue
+		}
+		var problems *zyini.ProblemsError
+		if !errors.As(err, &problems) || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%q instead of %q: got %v; want %s", c.new, c.old, err, c.want)
+		}
+	}
+}
+
+func TestParseTellsAllProblemsAtOnce(t *testing.T) {
+	text := "[bundle]\nversion = x\napprovals = 1\ndefaultHome = d\n[class c]\nimportance = 300\n"
+	_, err := zybundle.Parse("b.ini", []byte(text))
+	var problems *zyini.ProblemsError
+	if !errors.As(err, &problems) || len(problems.Problems) != 2 {
+		t.Fatalf("got %v", err)
+	}
+	for i, line := range []int{2, 6} {
+		if got := problems.Problems[i].Line; got != line {
+			t.Errorf("problem %d is on line %d, want %d", i, got, line)
+		}
+	}
+}
+
+func TestCallerOf(t *testing.T) {
+	b, err := zybundle.Parse("b", []byte(strings.Replace(example(t, "hollander.bundle.ini"), "anonymous = false", "anonymous = true", 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		token, claimed string
+		want           zinniayoke.Caller
+		refused        bool
+	}{
+		{token: "demo-fitters-yame", want: "fitters-yame"},
+		{token: "demo-fitters-yame", claimed: "foremen-kurume", want: "fitters-yame"},
+		{token: "wrong", refused: true},
+		{claimed: "fitters-yame", refused: true},
+		{claimed: "somebody", want: "somebody"},
+		{want: ""},
+	} {
+		got, err := b.CallerOf(c.token, c.claimed)
+		var refusal *zinniayoke.CallError
+		if c.refused != errors.As(err, &refusal) || got.Name != c.want {
+			t.Errorf("token %q, claimed %q: %q, %v", c.token, c.claimed, got.Name, err)
+		}
+	}
+}
+
+func TestRouteOf(t *testing.T) {
+	b, err := zybundle.Parse("b", []byte(example(t, "hollander.bundle.ini")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		service      zinniayoke.Service
+		method, path string
+		want         zinniayoke.RouteName
+	}{
+		{"settings", "GET", "/gaps", "settings/gaps"},
+		{"settings", "HEAD", "/gaps", "settings/gaps"},
+		{"settings", "POST", "/gaps", ""},
+		{"settings", "GET", "/gaps/", ""},
+		{"settings", "GET", "//gaps", ""},
+		{"settings", "GET", "/x/../gaps", ""},
+		{"orderdesk", "POST", "/orders", "orderdesk/orders"},
+		{"nowhere", "GET", "/gaps", ""},
+	} {
+		r, err := b.RouteOf(c.service, &http.Request{Method: c.method, URL: &url.URL{Path: c.path}})
+		if (c.want == "") != (err != nil) || err == nil && r.Name != c.want {
+			t.Errorf("%s %s%s: %v, %v", c.method, c.service, c.path, r, err)
+		}
+	}
+}
+
+func TestCheckSuccessor(t *testing.T) {
+	good := example(t, "hollander.bundle.ini")
+	first, err := zybundle.Parse("1", []byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	second := strings.Replace(good, "version = 1", "version = 2", 1)
+	for _, c := range []struct {
+		name, text string
+		good       bool
+	}{
+		{"next version", second, true},
+		{"same version", good, false},
+		{"skipped version", strings.Replace(good, "version = 1", "version = 3", 1), false},
+		{"home moves", strings.Replace(second, "home = yame", "home = kurume", 1), false},
+		{"home moves as stated", strings.Replace(second, "home = yame", "home = kurume\nmovedFrom = yame", 1), true},
+		{"default home moves", strings.Replace(second, "defaultHome = kurume", "defaultHome = yame", 1), false},
+		{"default home moves as stated", strings.Replace(second, "defaultHome = kurume", "defaultHome = yame\ndefaultMovedFrom = kurume", 1), true},
+		{"caller is renamed", strings.Replace(second, "[caller fitters-ibusuki]", "[caller fitters]", 1), false},
+	} {
+		b, err := zybundle.Parse("2", []byte(c.text))
+		if err != nil {
+			t.Fatalf("%s: %v", c.name, err)
+		}
+		err = first.CheckSuccessor(b)
+		var refused *zybundle.SuccessorError
+		if c.good != (err == nil) || err != nil && !errors.As(err, &refused) {
+			t.Errorf("%s: %v", c.name, err)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(example(f, "hollander.bundle.ini"))
+	f.Add(example(f, "tabighi.bundle.ini"))
+	f.Add("[bundle]\nversion = 1\n[route a]\npath = /{x}/{x}\nmethod = GET\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		b, err := zybundle.Parse("fuzz", []byte(text))
+		var problems *zyini.ProblemsError
+		if err != nil && (!errors.As(err, &problems) || len(problems.Problems) == 0) {
+			t.Fatalf("an error without a problem: %v", err)
+		}
+		if err == nil && (b.Version < 1 || b.Approvals >= len(b.Approvers)) {
+			t.Fatal("a bundle that cannot be followed was taken")
+		}
+	})
+}
+
+func ExampleParse() {
+	_, err := zybundle.Parse("shop.ini", []byte("[bundle]\nversion = one\napprovals = 1\ndefaultHome = here\n"))
+	fmt.Println(err)
+	// Output: shop.ini:2: [bundle] version: found "one"; accepted: a whole number from 1 to 2147483647
+}
--- a/core/zybundle/reference.go
+++ b/core/zybundle/reference.go
@@ -9,6 +9,9 @@
 	"zinniayoke/core/zyini"
 )
 
+// windowTimeouts is how many timeouts of a route a key has to be remembered.
+const windowTimeouts = 2
+
 func cutRegions(name string) (low, high zinniayoke.Region, ok bool) {
 	a, b, ok := strings.Cut(name, "/")
 	return zinniayoke.Region(a), zinniayoke.Region(b), ok && zyini.IsName(a) && zyini.IsName(b) && a != b
@@ -56,6 +59,10 @@
 		file.Reject(section, "class "+string(r.Class.Name), "a class with a [class] section")
 	}
 	r.Class = class
+	if r.NeverRepeat && windowTimeouts*r.Timeout > b.KeyWindow {
+		file.Reject(section, fmt.Sprintf("timeout %s with keyWindow %s", r.Timeout, b.KeyWindow),
+			"a keyWindow of at least twice the timeout, since a request may run until its timeout")
+	}
 }
 
 func (b *Bundle) checkDomain(file *zyini.File, section string, d zinniayoke.Domain) {
--- a/core/zyclaim/keeper.go
+++ b/core/zyclaim/keeper.go
@@ -78,6 +78,8 @@
 	reply    *zinniayoke.Reply
 	used     zinniayoke.Tokens
 	at       time.Time
+	// gaveUp is true for a key that the caller's new home may run.
+	gaveUp bool
 	// restored is true for what was learned from an earlier keeper's time.
 	restored bool
 }
@@ -107,6 +109,9 @@
 	if !ok {
 		return k.claimNew(now, slot, s, key, bodyHash, allowance)
 	}
+	if e.gaveUp {
+		return Decision{Step: StepUncertain}
+	}
 	if e.bodyHash != bodyHash {
 		return Decision{Step: StepReused}
 	}
@@ -172,6 +177,43 @@
 	return true
 }
 
+// Knows reports whether a slot is open here and a key of it is kept.
+func (k *Keeper) Knows(slot zinniayoke.Slot, key zinniayoke.Key) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s, ok := k.slots[slot]
+	if !ok || !s.open {
+		return false
+	}
+	_, ok = s.keys[key]
+	return ok
+}
+
+// GiveUp hands a key to the caller's new home. It returns StepRun where the key
+// ran nowhere and will never run here, StepAnswer with the answer of its run,
+// and StepUncertain where it may have run.
+func (k *Keeper) GiveUp(now time.Time, slot zinniayoke.Slot, key zinniayoke.Key) Decision {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s, ok := k.slots[slot]
+	if !ok || !s.open {
+		return Decision{Step: StepRecover}
+	}
+	e, known := s.keys[key]
+	switch {
+	case !known && (k.blocked(now, s) || k.keys >= k.cfg.Most):
+		return Decision{Step: StepUncertain}
+	case known && e.fate == zinniayoke.FateAnswered:
+		return Decision{Step: StepAnswer, Reply: e.reply}
+	case known && !e.gaveUp && (e.running || e.fate != zinniayoke.FateNeverSeen):
+		return Decision{Step: StepUncertain}
+	case !known:
+		k.keys++
+	}
+	s.keys[key] = &keyState{fate: zinniayoke.FateLost, gaveUp: true, at: now}
+	return Decision{Step: StepRun}
+}
+
 // Holds reports whether a grant is still this keeper's to use.
 func (k *Keeper) Holds(g zinniayoke.Grant) bool {
 	k.mu.Lock()
--- a/core/zyhome/home.go
+++ b/core/zyhome/home.go
@@ -53,6 +53,7 @@
 	Sender *zyegress.Sender
 	Rules  func() *zybundle.Bundle
 	Elders Elders
+	Moved  MovedKeys
 	Roll   Roll
 }
 
@@ -97,12 +98,15 @@
 func (h *Home) Run(ctx context.Context, c *zinniayoke.Call, route *zybundle.Route) *zinniayoke.Reply {
 	slot := zyclaim.SlotOf(h.cfg.Domain, c.Key)
 	for ctx.Err() == nil {
-		if !h.mine(slot) {
+		if !h.mine(slot) || !h.isHome(c.Caller) {
 			return free(c, uncertain(c, zinniayoke.ReasonStaleEpoch, "the key is kept by another node"))
 		}
 		if !h.inCharge() {
 			return free(c, uncertain(c, zinniayoke.ReasonKeyUncertain, "too few nodes of the home are in reach"))
 		}
+		if reply := h.fetchMoved(ctx, c, slot); reply != nil {
+			return reply
+		}
 		h.mu.Lock()
 		d := h.cfg.Keeper.Claim(time.Now(), slot, c.Key, c.BodyHash, c.Tokens)
 		s := h.join(c, d)
--- a/core/zyhome/home_test.go
+++ b/core/zyhome/home_test.go
@@ -36,7 +36,10 @@
 	lost   map[zinniayoke.NodeID]time.Time
 	runs   int
 	parted bool
-	answer func(a *zinniayoke.Attempt) (*zinniayoke.Reply, error)
+	// movedFrom is the caller's old home, whose keeper says gaveUp.
+	movedFrom zinniayoke.Domain
+	gaveUp    *zyhome.GaveUp
+	answer    func(a *zinniayoke.Attempt) (*zinniayoke.Reply, error)
 }
 
 func (s *system) Recall(context.Context, zinniayoke.NodeID, []zinniayoke.Slot, zinniayoke.Epoch) (*zyhome.Recall, error) {
@@ -49,6 +52,13 @@
 	return []zinniayoke.NodeID{worker}, s.lost
 }
 
+func (s *system) GiveUp(context.Context, zinniayoke.Domain, zinniayoke.Key) (*zyhome.GaveUp, error) {
+	if s.gaveUp == nil {
+		return nil, context.DeadlineExceeded
+	}
+	return s.gaveUp, nil
+}
+
 func (s *system) Quorum(zinniayoke.Domain) bool { return !s.parted }
 
 func (s *system) Upstreams(zinniayoke.Service) []zinniayoke.Upstream {
@@ -84,14 +94,14 @@
 func (nopMeter) Mismatch()                        {}
 
 func newHome(s *system) *zyhome.Home {
-	rules := func() *zybundle.Bundle { return &zybundle.Bundle{} }
+	rules := func() *zybundle.Bundle { return &zybundle.Bundle{DefaultHome: domain, DefaultMovedFrom: s.movedFrom} }
 	sender := zyegress.New(zyegress.Config{
 		Peers: wires{s}, Roster: s, Door: zydoor.New(), Budgets: zyattempt.NewBudgets(),
 		Suspects: zysuspect.New(zysuspect.Config{Most: 10}), Meter: nopMeter{}, Rules: rules,
 		Picker: zypick.New(zypick.Config{Roster: s, Random: rand.New(rand.NewPCG(1, 1))}),
 	})
 	return zyhome.New(zyhome.Config{
-		Node: self, Domain: domain, Sender: sender, Rules: rules, Elders: elders{s}, Roll: s,
+		Node: self, Domain: domain, Sender: sender, Rules: rules, Elders: elders{s}, Roll: s, Moved: s,
 		Keeper: zyclaim.NewKeeper(zyclaim.KeeperConfig{Node: self, Most: 100, Window: time.Minute}),
 	})
 }
@@ -139,6 +149,12 @@
 			2, zinniayoke.OutcomeUnknown, zinniayoke.ReasonKeyReused, 0},
 		{"an unknown key while a node is lost", system{lost: map[zinniayoke.NodeID]time.Time{gone: time.Now().Add(time.Hour)}, answer: done},
 			1, zinniayoke.OutcomeUnknown, zinniayoke.ReasonKeyUncertain, 0},
+		{"a key that the old home gave up", system{movedFrom: "old", gaveUp: &zyhome.GaveUp{Free: true}, answer: done},
+			1, zinniayoke.OutcomeDone, zinniayoke.ReasonNone, 1},
+		{"a key that may have run in the old home", system{movedFrom: "old", gaveUp: &zyhome.GaveUp{}},
+			1, zinniayoke.OutcomeUnknown, zinniayoke.ReasonKeyUncertain, 0},
+		{"a key while the old home is out of reach", system{movedFrom: "old"},
+			1, zinniayoke.OutcomeUnknown, zinniayoke.ReasonKeyUncertain, 0},
 		{"a new key without a quorum", system{parted: true, answer: done}, 1, zinniayoke.OutcomeUnknown, zinniayoke.ReasonKeyUncertain, 0},
 		{"a node that was lost before the window", system{lost: map[zinniayoke.NodeID]time.Time{gone: {}}, answer: done},
 			1, zinniayoke.OutcomeDone, zinniayoke.ReasonNone, 1},
@@ -202,3 +218,24 @@
 		}
 	})
 }
+
+func TestOldHomeGivesKeysUpForGood(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &system{answer: done}
+		h := newHome(s)
+		if told := h.GiveUp(context.Background(), key); !told.Free {
+			t.Fatal("a key that never ran was not given up")
+		}
+		if told := h.GiveUp(context.Background(), key); !told.Free {
+			t.Error("a key was not given up again")
+		}
+		if reply := run(h, 1); reply.Outcome != zinniayoke.OutcomeUnknown || s.runs != 0 {
+			t.Errorf("a key that was given up: outcome %s, %d runs", reply.Outcome, s.runs)
+		}
+		other := newHome(s)
+		run(other, 1)
+		if told := other.GiveUp(context.Background(), key); told.Free || told.Reply == nil {
+			t.Errorf("a key that ran: %+v", told)
+		}
+	})
+}
--- a/io/zynode/keepers.go
+++ b/io/zynode/keepers.go
@@ -6,6 +6,7 @@
 
 	"zinniayoke"
 	"zinniayoke/core/zybundle"
+	"zinniayoke/core/zyclaim"
 	"zinniayoke/core/zyhome"
 	"zinniayoke/io/zypeer"
 )
@@ -72,6 +73,16 @@
 	return k.home.Run(ctx, c, route)
 }
 
+// GiveUp asks the keeper in a caller's old home to give a key up.
+func (k *keepers) GiveUp(ctx context.Context, old zinniayoke.Domain, key zinniayoke.Key) (*zyhome.GaveUp, error) {
+	node := zyclaim.KeeperOf(zyclaim.SlotOf(old, key), k.view.Keepers(old))
+	u, ok := k.view.Find(node)
+	if !ok {
+		return nil, &UnknownNodeError{Node: node}
+	}
+	return k.client.GiveUp(ctx, u.Peer, key)
+}
+
 // Recall asks a node, which may be this one, for a promise.
 func (k *keepers) Recall(ctx context.Context, node zinniayoke.NodeID, slots []zinniayoke.Slot, epoch zinniayoke.Epoch) (*zyhome.Recall, error) {
 	if node == k.node {
--- a/io/zynode/node.go
+++ b/io/zynode/node.go
@@ -237,7 +237,7 @@
 	}
 	n.home = zyhome.New(zyhome.Config{
 		Node: n.id, Domain: n.cfg.Settings.Place.Domain, Keeper: n.keeper, Sender: sender,
-		Rules: n.book.Rules, Elders: n.keepers, Roll: n.view,
+		Rules: n.book.Rules, Elders: n.keepers, Moved: n.keepers, Roll: n.view,
 	})
 	n.keepers.home = n.home
 	n.entry = zyentry.New(zyentry.Config{
--- a/io/zynode/service.go
+++ b/io/zynode/service.go
@@ -30,6 +30,11 @@
 	return p.node.home.Note(ctx, key)
 }
 
+// GiveUp hands a key to the caller's new home.
+func (p *peerService) GiveUp(ctx context.Context, key zinniayoke.Key) *zyhome.GaveUp {
+	return p.node.home.GiveUp(ctx, key)
+}
+
 // Recall answers a keeper that takes slots over.
 func (p *peerService) Recall(slots []zinniayoke.Slot, epoch zinniayoke.Epoch) *zyhome.Recall {
 	return p.node.keepers.memory.Recall(slots, epoch)
--- a/io/zypeer/client.go
+++ b/io/zypeer/client.go
@@ -285,6 +285,15 @@
 	return reply.NotRun, nil
 }
 
+// GiveUp asks the keeper at the address to give a key up.
+func (c *Client) GiveUp(ctx context.Context, address string, key zinniayoke.Key) (*zyhome.GaveUp, error) {
+	reply := &zyhome.GaveUp{}
+	if err := c.call(ctx, address, "GiveUp", &NoteArgs{Key: key}, reply); err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
 // Recall asks the node at the address for a promise.
 func (c *Client) Recall(ctx context.Context, address string, args *RecallArgs) (*zyhome.Recall, error) {
 	reply := &zyhome.Recall{}
--- a/io/zypeer/server.go
+++ b/io/zypeer/server.go
@@ -22,6 +22,7 @@
 	Cancel(id zinniayoke.AttemptID)
 	Book(ctx context.Context, c *zinniayoke.Call) *zinniayoke.Reply
 	Note(ctx context.Context, key zinniayoke.Key) bool
+	GiveUp(ctx context.Context, key zinniayoke.Key) *zyhome.GaveUp
 	Recall(slots []zinniayoke.Slot, epoch zinniayoke.Epoch) *zyhome.Recall
 	Inherit(args *InheritArgs)
 	Sync(args *SyncArgs) *SyncReply
@@ -179,6 +180,14 @@
 	return nil
 }
 
+// GiveUp hands a key to the caller's new home.
+func (m *methods) GiveUp(args *NoteArgs, out *zyhome.GaveUp) error {
+	ctx, cancel := context.WithTimeout(context.Background(), noteTimeout)
+	defer cancel()
+	*out = *m.service.GiveUp(ctx, args.Key)
+	return nil
+}
+
 // Recall answers a keeper that takes slots over.
 func (m *methods) Recall(args *RecallArgs, out *zyhome.Recall) error {
 	*out = *m.service.Recall(args.Slots, args.Epoch)
