--- a/cmd/zinniayoke/experiment.go
+++ b/cmd/zinniayoke/experiment.go
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"zinniayoke/core/zyexperiment"
+	"zinniayoke/io/zyplot"
 )
 
 func experimentCommand() *cli.Command {
@@ -27,6 +28,7 @@
 					&cli.StringSliceFlag{Name: "policy", Value: []string{"passThrough", "fixedLimit", "full"}, Usage: "policies to compare"},
 					&cli.IntFlag{Name: "depth", Usage: "run only chains of this depth"},
 					&cli.BoolFlag{Name: "json", Usage: "print the results as JSON"},
+					&cli.StringFlag{Name: "plots", Usage: "folder for a plot of each scenario"},
 				},
 			},
 			{
@@ -68,6 +70,11 @@
 	results := zyexperiment.RunAll(zyexperiment.Scenarios(c.Uint64("seed")), policies, func(s zyexperiment.Scenario) bool {
 		return strings.Contains(s.Name, c.String("only")) && (c.Int("depth") == 0 || s.Depth == c.Int("depth"))
 	})
+	if dir := c.String("plots"); dir != "" {
+		if err := plotAll(dir, results, len(policies)); err != nil {
+			return err
+		}
+	}
 	if !c.Bool("json") {
 		zyexperiment.PrintTable(os.Stdout, results)
 		return nil
@@ -79,3 +86,13 @@
 	}
 	return nil
 }
+
+// plotAll draws the results, which come in groups of one scenario.
+func plotAll(dir string, results []zyexperiment.Result, group int) error {
+	for i := 0; i+group <= len(results); i += group {
+		if _, err := zyplot.Goodput(dir, results[i:i+group]); err != nil {
+			return fmt.Errorf("plots: %w", err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/io/zyplot/plot.go
@@ -0,0 +1,65 @@
+// Package zyplot draws the results of experiments.
+package zyplot
+
+import (
+	"fmt"
+	"path/filepath"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"zinniayoke/core/zyexperiment"
+)
+
+const (
+	width    = 16 * vg.Centimeter
+	height   = 8 * vg.Centimeter
+	interval = 0.1
+	smooth   = 5
+)
+
+// Goodput draws whole calls a second over time, one line for each policy of one
+// scenario, and returns the name of the file in dir.
+func Goodput(dir string, results []zyexperiment.Result) (string, error) {
+	p := plot.New()
+	p.Title.Text = fmt.Sprintf("%s, %d services deep", results[0].Scenario, results[0].Depth)
+	p.X.Label.Text = "seconds"
+	p.Y.Label.Text = "whole calls a second"
+	p.Legend.Top = true
+	for i, r := range results {
+		line, err := plotter.NewLine(points(r.Series))
+		if err != nil {
+			return "", fmt.Errorf("plot: %w", err)
+		}
+		line.Color = plotutil.Color(i)
+		line.Dashes = plotutil.Dashes(i)
+		p.Add(line)
+		p.Legend.Add(r.Policy, line)
+	}
+	name := fileName(results[0])
+	if err := p.Save(width, height, filepath.Join(dir, name)); err != nil {
+		return "", fmt.Errorf("plot: %w", err)
+	}
+	return name, nil
+}
+
+// points averages half a second around each point.
+func points(series []float64) plotter.XYs {
+	xys := make(plotter.XYs, 0, len(series))
+	for i := smooth - 1; i < len(series); i++ {
+		sum := 0.0
+		for _, v := range series[i-smooth+1 : i+1] {
+			sum += v
+		}
+		xys = append(xys, plotter.XY{X: float64(i) * interval, Y: sum / smooth})
+	}
+	return xys
+}
+
+func fileName(r zyexperiment.Result) string {
+	name := strings.NewReplacer(" ", "-", ",", "", "%", "").Replace(r.Scenario)
+	return fmt.Sprintf("%s-%d.svg", name, r.Depth)
+}
