zyadmission: refuse lower classes before a booking that waited too long

Cause: the experiment could count inversions only under the fixed limit, so 'none' was a check that could not fail.

--- a/core/zyadmission/gate.go
+++ b/core/zyadmission/gate.go
@@ -1,11 +1,13 @@
 package zyadmission
 
 import (
+	"slices"
 	"time"
 
 	"github.com/google/btree"
 
 	"zinniayoke"
+	"zinniayoke/core/zyrank"
 )
 
 // Item is an attempt that wants to run.
@@ -173,16 +175,23 @@
 }
 
 // Tick refuses what has waited too long or cannot finish any more, and moves
-// the threshold.
+// the threshold. Behind a call that has waited too long, those of lower classes
+// are refused as well, as they would wait still longer.
 func (g *Gate) Tick(now time.Time) Result {
 	var res Result
 	var late []Item
+	bar := zinniayoke.Rank(0)
 	g.queue.Ascend(func(item Item) bool {
-		if g.hopeless(now, item) || now.Sub(item.arrived) > longestWait {
+		waited := now.Sub(item.arrived) > longestWait
+		if waited {
+			bar = max(bar, zyrank.ClassFloor(item.Rank))
+		}
+		if waited || g.hopeless(now, item) || item.Rank < bar {
 			late = append(late, item)
 		}
 		return true
 	})
+	slices.Reverse(late)
 	for _, item := range late {
 		g.refuseLate(now, item, &res)
 	}
--- a/core/zyexperiment/host.go
+++ b/core/zyexperiment/host.go
@@ -316,11 +316,25 @@
 	for _, refusal := range res.Refuse {
 		if a, ok := h.items[refusal.Item.ID]; ok {
 			delete(h.items, a.id)
+			if refusal.Reason == zinniayoke.ReasonShed {
+				h.run.score.shed(a, h.waiting())
+			}
 			a.reply(simReply{shed: true})
 		}
 	}
 }
 
+// waiting returns the attempts that the gate has kept waiting.
+func (h *simHost) waiting() []*simAttempt {
+	var list []*simAttempt
+	for _, a := range h.items {
+		if a.began.IsZero() {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
 // begin hands an attempt to the worker, which waits for a slot itself.
 func (h *simHost) begin(a *simAttempt) {
 	h.running++
