zinniayoke: catch epoch and token mutations by directed worlds

The fake membership also counted a lost host as lost just now, so slots stayed blocked. Change: a frozen keeper and lossy wires are worlds of their own, each run with and without the mutation.

--- a/path_test.go
+++ b/path_test.go
@@ -143,18 +143,20 @@
 
 // host is one host with its node and worker.
 type host struct {
-	world    *world
-	id       zinniayoke.NodeID
-	service  zinniayoke.Service
-	place    zinniayoke.Place
-	side     int
-	dead     bool
-	leaving  bool
-	paused   chan struct{}
-	receiver *zyingress.Receiver
-	home     *zyhome.Home
-	entry    *zyentry.Entry
-	memory   zyhome.Answerer
+	world   *world
+	id      zinniayoke.NodeID
+	service zinniayoke.Service
+	place   zinniayoke.Place
+	side    int
+	// sideSince is when the host came to its side.
+	sideSince time.Time
+	dead      bool
+	leaving   bool
+	paused    chan struct{}
+	receiver  *zyingress.Receiver
+	home      *zyhome.Home
+	entry     *zyentry.Entry
+	memory    zyhome.Answerer
 }
 
 // oracle is the simple truth that the nodes are compared with.
@@ -358,7 +360,7 @@
 		if h.sees(other) {
 			there = append(there, other.id)
 		} else {
-			lost[other.id] = time.Now()
+			lost[other.id] = h.lostSince(other)
 		}
 	}
 	h.world.mu.Lock()
@@ -369,6 +371,24 @@
 	return there, lost
 }
 
+// lostSince returns when two hosts came to be on different sides.
+func (h *host) lostSince(other *host) time.Time {
+	h.world.mu.Lock()
+	defer h.world.mu.Unlock()
+	if h.sideSince.After(other.sideSince) {
+		return h.sideSince
+	}
+	return other.sideSince
+}
+
+// turn puts a host on a side. The world's lock is held.
+func (h *host) turn(side int) {
+	if h.side != side {
+		h.side = side
+		h.sideSince = time.Now()
+	}
+}
+
 // reach waits out a pause of either side and says whether a message passes.
 func (h *host) reach(ctx context.Context, to *host) error {
 	if to == nil {
--- a/promise_test.go
+++ b/promise_test.go
@@ -141,10 +141,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, h := range w.hosts {
-		h.side = 0
+		side := 0
 		if apart && h.place.Domain == "d1" {
-			h.side = 1
+			side = 1
 		}
+		h.turn(side)
 	}
 }
 
@@ -153,10 +154,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for i, h := range w.hosts {
-		h.side = 0
+		side := 0
 		if i < hosts {
-			h.side = 1
+			side = 1
 		}
+		h.turn(side)
 	}
 }
 
@@ -169,7 +171,7 @@
 	w.mu.Lock()
 	w.oracle.faults++
 	h.paused = resumed
-	h.side = pausedSide
+	h.turn(pausedSide)
 	w.mu.Unlock()
 	w.active.Add(1)
 	go func() {
@@ -177,7 +179,7 @@
 		time.Sleep(d)
 		w.mu.Lock()
 		h.paused = nil
-		h.side = 0
+		h.turn(0)
 		w.mu.Unlock()
 		close(resumed)
 	}()
@@ -279,19 +281,81 @@
 	})
 }
 
+// playFrozen freezes the keeper of one key in a quiet world and returns what
+// was broken.
+func playFrozen(m mutation, number int) string {
+	w := newWorld(uint64(number), m)
+	announcing := w.timer.Every(time.Second, w.announceAll)
+	defer announcing.Cancel()
+	hosts := w.list()
+	w.freezeKeeper(hosts[1], hosts[3], fmt.Sprintf("k%d", number))
+	w.end()
+	return w.check()
+}
+
+// playLossy sends lookups over wires that lose much, so that every hop retries.
+func playLossy(m mutation, number int) string {
+	w := newWorld(uint64(number), m)
+	announcing := w.timer.Every(time.Second, w.announceAll)
+	defer announcing.Cancel()
+	w.faults = faults{loseRequest: 0.4, loseReply: 0.4}
+	for i, h := range w.list() {
+		w.send(h, fmt.Sprintf("k%d", i), "/look")
+		time.Sleep(time.Second)
+	}
+	w.end()
+	return w.check()
+}
+
+const frozenKeys = 12
+
+// TestFrozenKeeper lets a keeper wake up with a grant that is no longer its own.
+func TestFrozenKeeper(t *testing.T) {
+	for number := range frozenKeys {
+		synctest.Test(t, func(t *testing.T) {
+			if broken := playFrozen(noMutation, number); broken != "" {
+				t.Errorf("key %d: %s", number, broken)
+			}
+		})
+	}
+}
+
+// TestLossyWires bounds the attempts while every hop retries.
+func TestLossyWires(t *testing.T) {
+	const runs = 30
+	for number := range runs {
+		synctest.Test(t, func(t *testing.T) {
+			if broken := playLossy(noMutation, number); broken != "" {
+				t.Errorf("run %d: %s", number, broken)
+			}
+		})
+	}
+}
+
 // TestMutationsAreCaught shows that the checks can fail: with one safeguard
-// taken out, random operations break a promise within a bounded number of runs.
+// taken out, a promise is broken within a bounded number of runs.
 func TestMutationsAreCaught(t *testing.T) {
 	const mostRuns = 400
-	for name, m := range map[string]mutation{
-		"fence off": fenceOff, "epoch off": epochOff, "token split off": splitOff, "answer check off": checkOff,
+	steps, injected := 0, 0
+	random := func(m mutation) func(int) string {
+		game := rapid.Custom(func(t *rapid.T) string { return play(t, m, &steps, &injected) })
+		return func(run int) string { return game.Example(run) }
+	}
+	for _, c := range []struct {
+		name string
+		play func(run int) string
+		runs int
+	}{
+		{"fence off", random(fenceOff), mostRuns},
+		{"token split off", func(run int) string { return playLossy(splitOff, run) }, mostRuns},
+		{"answer check off", random(checkOff), mostRuns},
+		{"epoch off", func(run int) string { return playFrozen(epochOff, run) }, frozenKeys},
 	} {
-		t.Run(name, func(t *testing.T) {
+		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				steps, injected := 0, 0
-				game := rapid.Custom(func(t *rapid.T) string { return play(t, m, &steps, &injected) })
-				for run := range mostRuns {
-					if broken := game.Example(run); broken != "" {
+				steps, injected = 0, 0
+				for run := range c.runs {
+					if broken := c.play(run); broken != "" {
 						t.Logf("caught in run %d after %d steps: %s", run, steps, broken)
 						return
 					}
