--- /dev/null
+++ b/core/zyagreement/mutation_test.go
@@ -0,0 +1,70 @@
+package zyagreement_test
+
+import (
+	"testing"
+
+	"zinniayoke/core/zyagreement"
+	"zinniayoke/core/zybundle"
+)
+
+// TestMutationsAreCaught plays records that a reader without one of its checks
+// would take, and shows that each of them matters: what the reader refuses would
+// put a bundle into force that the oracle does not allow.
+func TestMutationsAreCaught(t *testing.T) {
+	v1, v2a, v2b := text(1, 0, "alice", "bob"), text(2, 1, "alice", "bob"), text(2, 2, "alice", "bob")
+	h1 := zybundle.HashOf(v1)
+	base := [][]byte{
+		proposal(v1, 1, "alice"), signOff(v1, 1, "bob"), rollOut(v1, 1, "", "alice"),
+		proposal(v2a, 2, "alice"), proposal(v2b, 2, "bob"), signOff(v2a, 2, "bob"), signOff(v2b, 2, "alice"),
+		rollOut(v2a, 2, h1, "alice"),
+	}
+	t.Run("parent check off", func(t *testing.T) {
+		s := zyagreement.NewState(genesis())
+		_ = apply(s, base...)
+		// Without the check the loser's roll-out counts as if it named the winner.
+		_ = apply(s, rollOut(v2b, 2, h1, "bob"))
+		honest := s.Hash()
+		mutated := zyagreement.NewState(genesis())
+		_ = apply(mutated, base[:len(base)-1]...)
+		_ = apply(mutated, rollOut(v2b, 2, mutated.Hash(), "bob"))
+		if honest != zybundle.HashOf(v2a) || mutated.Hash() == honest {
+			t.Errorf("the loser's roll-out made no difference: %s", mutated.Hash())
+		}
+	})
+	t.Run("checkpoint trusted unsigned", func(t *testing.T) {
+		s := zyagreement.NewState(genesis())
+		_ = apply(s, base...)
+		for name, forge := range map[string]func(*zyagreement.Link){
+			"sign-offs taken out":      func(l *zyagreement.Link) { l.SignOffs = nil },
+			"sign-off by the author":   func(l *zyagreement.Link) { l.SignOffs[0].Author = l.Proposal.Author },
+			"another text":             func(l *zyagreement.Link) { l.Proposal.Text = v2b },
+			"another text and hash":    func(l *zyagreement.Link) { l.Proposal.Text, l.Proposal.Hash = v2b, zybundle.HashOf(v2b) },
+			"roll-out of another":      func(l *zyagreement.Link) { l.RollOut.Hash = zybundle.HashOf(v2b) },
+			"signature changed":        func(l *zyagreement.Link) { l.RollOut.Signature[0] ^= 1 },
+			"a proposal as a roll-out": func(l *zyagreement.Link) { l.RollOut = l.Proposal },
+		} {
+			link := s.Lineage()[len(s.Lineage())-1]
+			link.SignOffs = append([]zyagreement.Entry(nil), link.SignOffs...)
+			link.RollOut.Signature = append([]byte(nil), link.RollOut.Signature...)
+			forge(&link)
+			fresh := zyagreement.NewState(genesis())
+			if changed, err := fresh.Adopt(zyagreement.Lineage{link}); changed || err == nil {
+				t.Errorf("%s: adopted version %d", name, fresh.Version())
+			}
+		}
+	})
+}
+
+func FuzzApply(f *testing.F) {
+	v1 := text(1, 0, "alice", "bob")
+	f.Add(proposal(v1, 1, "alice"))
+	f.Add(rollOut(v1, 1, "", "alice"))
+	f.Add([]byte(`{"kind":3,"lineage":[{}]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		s := zyagreement.NewState(genesis())
+		_ = apply(s, proposal(v1, 1, "alice"), body)
+		if s.Version() != 0 {
+			t.Fatal("a record without a sign-off put a bundle into force")
+		}
+	})
+}
--- a/core/zyattempt/budget.go
+++ b/core/zyattempt/budget.go
@@ -17,6 +17,8 @@
 	startingRetries = 3
 	mostRetries     = 50
 	mostBudgets     = 8192
+	// rounding is what sums of shares may miss.
+	rounding = 1e-9
 )
 
 // Budgets bounds retries to a share of successes, for each caller and class.
@@ -45,7 +47,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	key = b.fit(key)
-	if b.left[key] < 1 {
+	if b.left[key] < 1-rounding {
 		return false
 	}
 	b.left[key]--
--- /dev/null
+++ b/io/zyweb/caller_test.go
@@ -0,0 +1,152 @@
+package zyweb_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"zinniayoke"
+	"zinniayoke/core/zyentry"
+	"zinniayoke/io/zyweb"
+)
+
+// entry answers every call with one reply and keeps what it was given.
+type entry struct {
+	reply *zinniayoke.Reply
+	in    *zyentry.Inbound
+}
+
+func (e *entry) Handle(_ context.Context, in *zyentry.Inbound) *zyentry.Result {
+	e.in = in
+	return &zyentry.Result{Reply: e.reply, Request: "r-1", Attempts: 2}
+}
+
+func ask(e *entry, method, target, body string, headers ...string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, target, strings.NewReader(body))
+	for i := 0; i+1 < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	w := httptest.NewRecorder()
+	zyweb.NewCaller(zyweb.CallerConfig{Entry: e}).ServeHTTP(w, r)
+	return w
+}
+
+func TestWholeAnswerIsPassedOn(t *testing.T) {
+	e := &entry{reply: &zinniayoke.Reply{Outcome: zinniayoke.OutcomeDone, Answer: &zinniayoke.Answer{
+		Status: http.StatusTeapot, Body: []byte("tea"), Headers: []zinniayoke.Header{{Name: "X-Kind", Value: "green"}},
+	}}}
+	w := ask(e, "POST", "/call/shop/a%2Fb/c?q=1", "body", "Authorization", "Bearer t", "Idempotency-Key", "k",
+		"Zinniayoke-Timeout", "250", "X-Own", "yes", "Connection", "close")
+	if w.Code != http.StatusTeapot || w.Body.String() != "tea" || w.Header().Get("X-Kind") != "green" {
+		t.Errorf("answer %d %q %v", w.Code, w.Body, w.Header())
+	}
+	for name, want := range map[string]string{
+		zyweb.OutcomeHeader: "done", zyweb.RequestHeader: "r-1", zyweb.AttemptsHeader: "2", "Content-Length": "3",
+	} {
+		if got := w.Header().Get(name); got != want {
+			t.Errorf("%s: %q, want %q", name, got, want)
+		}
+	}
+	in := e.in
+	if in.Token != "t" || in.Key != "k" || in.Timeout.Milliseconds() != 250 || in.Service != "shop" || string(in.Body) != "body" {
+		t.Errorf("taken in: %+v", in)
+	}
+	if in.HTTP.URL.Path != "/a/b/c" || in.HTTP.URL.RawQuery != "q=1" {
+		t.Errorf("path %q, query %q", in.HTTP.URL.Path, in.HTTP.URL.RawQuery)
+	}
+	for _, h := range in.Headers {
+		if h.Name != "X-Own" {
+			t.Errorf("header %s was passed on", h.Name)
+		}
+	}
+}
+
+func TestFailures(t *testing.T) {
+	for _, c := range []struct {
+		reason  zinniayoke.Reason
+		outcome zinniayoke.Outcome
+		status  int
+		retry   string
+	}{
+		{zinniayoke.ReasonMalformed, zinniayoke.OutcomeNotRun, 400, ""},
+		{zinniayoke.ReasonToken, zinniayoke.OutcomeNotRun, 401, ""},
+		{zinniayoke.ReasonNoRoute, zinniayoke.OutcomeNotRun, 404, ""},
+		{zinniayoke.ReasonKeyReused, zinniayoke.OutcomeUnknown, 409, ""},
+		{zinniayoke.ReasonTooLarge, zinniayoke.OutcomeNotRun, 413, ""},
+		{zinniayoke.ReasonQuarantined, zinniayoke.OutcomeNotRun, 422, ""},
+		{zinniayoke.ReasonCallerLimit, zinniayoke.OutcomeNotRun, 429, "1"},
+		{zinniayoke.ReasonAnswerLost, zinniayoke.OutcomeUnknown, 502, ""},
+		{zinniayoke.ReasonShed, zinniayoke.OutcomeNotRun, 503, "1"},
+		{zinniayoke.ReasonNoUpstream, zinniayoke.OutcomeNotRun, 503, "1"},
+		{zinniayoke.ReasonDeadline, zinniayoke.OutcomeUnknown, 504, ""},
+	} {
+		w := ask(&entry{reply: &zinniayoke.Reply{Reason: c.reason, Outcome: c.outcome, Detail: "why"}}, "GET", "/call/s/x", "")
+		var failure zyweb.Failure
+		if err := json.Unmarshal(w.Body.Bytes(), &failure); err != nil {
+			t.Errorf("%s: %v", c.reason, err)
+			continue
+		}
+		got := failure.Error
+		if w.Code != c.status || got.Type != c.reason || got.Outcome != c.outcome || got.Message != "why" ||
+			w.Header().Get("Retry-After") != c.retry || w.Header().Get(zyweb.OutcomeHeader) != c.outcome.String() {
+			t.Errorf("%s: %d %+v %v", c.reason, w.Code, got, w.Header())
+		}
+	}
+}
+
+func TestBadHeaders(t *testing.T) {
+	for _, c := range []struct {
+		name, value string
+		status      int
+	}{
+		{"Zinniayoke-Timeout", "0", 400},
+		{"Zinniayoke-Timeout", "-5", 400},
+		{"Zinniayoke-Timeout", "1s", 400},
+		{"Zinniayoke-Timeout", "99999999999999999999", 400},
+		{"Authorization", "Basic abc", 401},
+		{"Authorization", "Bearer ", 401},
+	} {
+		e := &entry{}
+		w := ask(e, "GET", "/call/s/x", "", c.name, c.value)
+		if w.Code != c.status || e.in != nil || w.Header().Get(zyweb.OutcomeHeader) != "notRun" {
+			t.Errorf("%s: %q: status %d, outcome %s", c.name, c.value, w.Code, w.Header().Get(zyweb.OutcomeHeader))
+		}
+		w = ask(e, "GET", "/call/s/x", "", c.name, c.value, "Idempotency-Key", "k")
+		if w.Header().Get(zyweb.OutcomeHeader) != "unknown" {
+			t.Errorf("%s with a key: outcome %s", c.name, w.Header().Get(zyweb.OutcomeHeader))
+		}
+	}
+}
+
+func FuzzCallerHeaders(f *testing.F) {
+	f.Add("/call/s/x", "Bearer t", "250", "k", "handle")
+	f.Add("/call//", "Bearer", "", "", "")
+	f.Fuzz(func(t *testing.T, path, authorization, timeout, key, handle string) {
+		r := httptest.NewRequest("GET", "/", http.NoBody)
+		r.URL.Path = path
+		r.Header["Authorization"] = []string{authorization}
+		r.Header["Zinniayoke-Timeout"] = []string{timeout}
+		r.Header["Idempotency-Key"] = []string{key}
+		r.Header["Zinniayoke-Context"] = []string{handle}
+		w := httptest.NewRecorder()
+		e := &entry{reply: &zinniayoke.Reply{Reason: zinniayoke.ReasonShed}}
+		zyweb.NewCaller(zyweb.CallerConfig{Entry: e}).ServeHTTP(w, r)
+		if e.in != nil && (e.in.Timeout < 0 || e.in.HTTP.URL.Path == "") {
+			t.Fatalf("taken in: %+v", e.in)
+		}
+	})
+}
+
+func FuzzReadAnnouncement(f *testing.F) {
+	f.Add(`{"service":"s","address":"127.0.0.1:1","slots":1,"connections":1,"state":"serving","incarnation":1}`)
+	f.Add(`{"state":"gone"}`)
+	f.Fuzz(func(t *testing.T, text string) {
+		a, err := zyweb.ReadAnnouncement(strings.NewReader(text))
+		if err == nil && a.Check() != nil {
+			t.Fatalf("taken in: %+v", a)
+		}
+	})
+}
