--- /dev/null
+++ b/core/zyanswer/answer_test.go
@@ -0,0 +1,59 @@
+package zyanswer_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"zinniayoke"
+	"zinniayoke/core/zyanswer"
+)
+
+func stamped(body string) *zinniayoke.Reply {
+	a := &zinniayoke.Answer{Status: 200, Body: []byte(body)}
+	zyanswer.Stamp(a, "r", "a")
+	return &zinniayoke.Reply{Attempt: "a", Request: "r", Outcome: zinniayoke.OutcomeDone, Answer: a}
+}
+
+func TestCheck(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(r *zinniayoke.Reply)
+		good   bool
+	}{
+		{"whole", func(*zinniayoke.Reply) {}, true},
+		{"refused", func(r *zinniayoke.Reply) { r.Answer, r.Outcome = nil, zinniayoke.OutcomeNotRun }, true},
+		{"done without an answer", func(r *zinniayoke.Reply) { r.Answer = nil }, false},
+		{"another attempt", func(r *zinniayoke.Reply) { r.Attempt = "b" }, false},
+		{"another request", func(r *zinniayoke.Reply) { r.Request = "s" }, false},
+		{"answer of another attempt", func(r *zinniayoke.Reply) { r.Answer.Attempt = "b" }, false},
+		{"answer to another request", func(r *zinniayoke.Reply) { r.Answer.Request = "s" }, false},
+		{"cut short", func(r *zinniayoke.Reply) { r.Answer.Body = r.Answer.Body[:3] }, false},
+		{"longer", func(r *zinniayoke.Reply) { r.Answer.Body = append(r.Answer.Body, 'x') }, false},
+		{"changed", func(r *zinniayoke.Reply) { r.Answer.Body[0] ^= 1 }, false},
+	} {
+		r := stamped("whole answer")
+		c.change(r)
+		err := zyanswer.Check(r, "r", "a")
+		var mismatch *zyanswer.MismatchError
+		if c.good != (err == nil) || err != nil && !errors.As(err, &mismatch) {
+			t.Errorf("%s: %v", c.name, err)
+		}
+	}
+}
+
+// BenchmarkHash measures stamping and checking an answer.
+func BenchmarkHash(b *testing.B) {
+	for _, size := range []int{256, 4 << 10, 64 << 10, 1 << 20} {
+		b.Run(fmt.Sprintf("%dB", size), func(b *testing.B) {
+			a := &zinniayoke.Answer{Body: make([]byte, size)}
+			b.SetBytes(int64(size))
+			for range b.N {
+				zyanswer.Stamp(a, "r", "a")
+				if err := zyanswer.CheckBody(a); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/zybundle/parse_bench_test.go
@@ -0,0 +1,33 @@
+package zybundle_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"zinniayoke/core/zybundle"
+)
+
+// large returns a bundle with a thousand callers and 510 services.
+func large(tb testing.TB) string {
+	var b strings.Builder
+	b.WriteString(example(tb, "hollander.bundle.ini"))
+	for i := range 1000 {
+		fmt.Fprintf(&b, "[caller small-%04d]\ntokenHash = %064x\nurgency = %d\nhome = kurume\n", i, i, i%16)
+	}
+	for i := range 506 {
+		fmt.Fprintf(&b, "[service s%03d]\n[route s%03d/get]\nservice = s%03d\nmethod = GET\npath = /x/{id}\nclass = lookup\nattempts = 10\ncalls = 3\n", i, i, i)
+	}
+	return b.String()
+}
+
+// BenchmarkParse reads a bundle of the size to design for.
+func BenchmarkParse(b *testing.B) {
+	text := []byte(large(b))
+	b.ReportMetric(float64(len(text)), "bytes")
+	for range b.N {
+		if _, err := zybundle.Parse("large", text); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/core/zyclaim/keeper_bench_test.go
@@ -0,0 +1,78 @@
+package zyclaim_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"zinniayoke"
+	"zinniayoke/core/zyclaim"
+)
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+func reply(id zinniayoke.AttemptID) *zinniayoke.Reply {
+	return &zinniayoke.Reply{
+		Attempt: id, Outcome: zinniayoke.OutcomeDone,
+		Answer: &zinniayoke.Answer{Status: 200, Body: make([]byte, 256), Attempt: id},
+	}
+}
+
+// BenchmarkKeys measures the memory and time of a key at its keeper and at the
+// worker's node, with answers of 256 bytes.
+func BenchmarkKeys(b *testing.B) {
+	const keys = 50_000
+	now := time.Unix(0, 0)
+	slot := zinniayoke.Slot{Domain: "d"}
+	for range b.N {
+		before := heap()
+		keeper := zyclaim.NewKeeper(zyclaim.KeeperConfig{Node: "n", Most: keys, Window: time.Hour})
+		keeper.FinishRecovery(now, keeper.StartRecovery([]zinniayoke.Slot{slot}, zinniayoke.Epoch{}))
+		start := time.Now()
+		for i := range keys {
+			key := zinniayoke.Key(fmt.Sprintf("caller-0123\x00orderdesk/orders\x00%036d", i))
+			d := keeper.Claim(now, slot, key, uint64(i), 10)
+			id := zinniayoke.AttemptID(fmt.Sprintf("%036d", i))
+			keeper.Sent(now, d.Grant, key, id, "worker/1")
+			keeper.Settle(now, d.Grant, key, reply(id), 1)
+		}
+		b.ReportMetric(float64(time.Since(start).Nanoseconds())/keys, "ns/key-at-keeper")
+		b.ReportMetric(float64(heap()-before)/keys, "B/key-at-keeper")
+		before = heap()
+		grants := zyclaim.NewGrants(zyclaim.GrantsConfig{Node: "n", Most: keys, Window: time.Hour})
+		start = time.Now()
+		for i := range keys {
+			a := &zinniayoke.Attempt{
+				ID:  zinniayoke.AttemptID(fmt.Sprintf("%036d", i)),
+				Key: zinniayoke.Key(fmt.Sprintf("caller-0123\x00orderdesk/orders\x00%036d", i)), Grant: zinniayoke.Grant{Slot: slot},
+			}
+			if err := grants.Begin(now, a); err != nil {
+				b.Fatal(err)
+			}
+			grants.End(now, a.Key, a.ID, reply(a.ID))
+		}
+		b.ReportMetric(float64(time.Since(start).Nanoseconds())/keys, "ns/key-at-worker")
+		b.ReportMetric(float64(heap()-before)/keys, "B/key-at-worker")
+		runtime.KeepAlive(keeper)
+		runtime.KeepAlive(grants)
+	}
+}
+
+// BenchmarkOwned measures finding the slots of one of 460 nodes of a domain.
+func BenchmarkOwned(b *testing.B) {
+	members := make([]zinniayoke.NodeID, 460)
+	for i := range members {
+		members[i] = zinniayoke.NodeID(fmt.Sprintf("host-%04d/%016x", i, i))
+	}
+	for range b.N {
+		for n := range zyclaim.Slots {
+			zyclaim.KeeperOf(zinniayoke.Slot{Domain: "domain", Number: n}, members)
+		}
+	}
+}
--- a/io/zyweb/caller_test.go
+++ b/io/zyweb/caller_test.go
@@ -125,7 +125,7 @@
 	f.Add("/call/s/x", "Bearer t", "250", "k", "handle")
 	f.Add("/call//", "Bearer", "", "", "")
 	f.Fuzz(func(t *testing.T, path, authorization, timeout, key, handle string) {
-		r := httptest.NewRequest("GET", "/", http.NoBody)
+		r := httptest.NewRequest(http.MethodGet, "/", http.NoBody)
 		r.URL.Path = path
 		r.Header["Authorization"] = []string{authorization}
 		r.Header["Zinniayoke-Timeout"] = []string{timeout}
