--- a/core/zymember/packet.go
+++ b/core/zymember/packet.go
@@ -94,6 +94,7 @@
 	h := &codec.MsgpackHandle{}
 	h.MaxInitLen = mostChanges
 	h.MaxDepth = 8
+	h.StructToArray = true
 	return h
 }
 
@@ -135,9 +136,9 @@
 	return h.Sum(nil)[:macSize]
 }
 
-// sizeOf estimates the encoded size of a change.
+// sizeOf bounds the encoded size of a change.
 func sizeOf(c Change) int {
-	const fixed = 96
+	const fixed = 46
 	u := c.Upstream
 	return fixed + len(u.Node) + len(u.Place.Domain) + len(u.Place.Region) + len(u.Peer) + len(u.Service)
 }
--- a/core/zymember/table.go
+++ b/core/zymember/table.go
@@ -27,7 +27,7 @@
 
 const (
 	indirectProbes   = 3
-	suspicionPeriods = 3
+	suspicionPeriods = 1.5
 	retransmitFactor = 3
 	ackShare         = 3
 	deadProbeEvery   = 5
@@ -50,14 +50,16 @@
 // Table is one node's view of all nodes. It is not safe for use by several
 // goroutines. A Table must be made with NewTable.
 type Table struct {
-	cfg      Config
-	self     Change
-	members  map[zinniayoke.NodeID]*Member
-	order    []zinniayoke.NodeID
-	turn     int
-	news     []*news
-	probe    *probe
-	relays   map[uint64]relay
+	cfg     Config
+	self    Change
+	members map[zinniayoke.NodeID]*Member
+	order   []zinniayoke.NodeID
+	turn    int
+	news    []*news
+	probe   *probe
+	relays  map[uint64]relay
+	// accused holds the members that this node suspected itself.
+	accused  map[zinniayoke.NodeID]bool
 	sequence uint64
 	ticks    int
 	version  zinniayoke.Version
@@ -89,6 +91,7 @@
 		cfg:     cfg,
 		members: make(map[zinniayoke.NodeID]*Member),
 		relays:  make(map[uint64]relay),
+		accused: make(map[zinniayoke.NodeID]bool),
 		latest:  make(map[string]zinniayoke.NodeID),
 	}
 	t.self = Change{Upstream: cfg.Self, Status: zinniayoke.MemberAlive, Counter: 1}
@@ -176,9 +179,33 @@
 	if t.probe == nil {
 		out = t.startProbe(now, out)
 	}
+	out = t.warnSuspects(out)
+	if t.hasFreshNews() {
+		out = append(out, t.Burst()...)
+	}
 	return out
 }
 
+// warnSuspects pings the members that this node suspected itself, so that one
+// that is alive learns of it at once and objects.
+func (t *Table) warnSuspects(out []Addressed) []Addressed {
+	for id := range t.accused {
+		m, ok := t.members[id]
+		if !ok || m.Status != zinniayoke.MemberSuspect {
+			delete(t.accused, id)
+			continue
+		}
+		t.sequence++
+		out = append(out, t.ping(id, t.sequence))
+	}
+	return out
+}
+
+// hasFreshNews reports whether there is news that was told to nobody yet.
+func (t *Table) hasFreshNews() bool {
+	return slices.ContainsFunc(t.news, func(n *news) bool { return n.sent == 0 })
+}
+
 // watch follows the probe under way: after a third of the period without an
 // answer others are asked to probe, at its end the member is suspected.
 func (t *Table) watch(now time.Time, out []Addressed) []Addressed {
@@ -208,6 +235,7 @@
 	if answered || !ok || m.Status != zinniayoke.MemberAlive {
 		return
 	}
+	t.accused[target] = true
 	t.merge(now, Change{Upstream: m.Upstream, Status: zinniayoke.MemberSuspect, Counter: m.Counter})
 }
 
@@ -313,6 +341,9 @@
 }
 
 func (t *Table) answer(p *Packet) []Addressed {
+	if p.Sequence == 0 {
+		return nil // It only carries news.
+	}
 	if p.Target != "" && p.Target != t.cfg.Self.Node {
 		// The packet is for an earlier run of this host's node, which is gone.
 		t.tell(t.self)
@@ -376,7 +407,7 @@
 
 // suspicion is how long a suspect has to object.
 func (t *Table) suspicion() time.Duration {
-	scale := math.Max(1, math.Log10(float64(len(t.members))))
+	scale := math.Max(1, math.Log10(float64(len(t.members)))/2)
 	return time.Duration(suspicionPeriods * scale * float64(t.cfg.Period))
 }
 
--- a/io/zypeer/message.go
+++ b/io/zypeer/message.go
@@ -86,6 +86,4 @@
 }
 
 // Empty is a message without content.
-type Empty struct {
-	_ struct{} `codec:",toarray"`
-}
+type Empty struct{}
--- a/io/zypeer/server.go
+++ b/io/zypeer/server.go
@@ -97,6 +97,7 @@
 func rpcHandle() *codec.MsgpackHandle {
 	h := &codec.MsgpackHandle{}
 	h.MaxInitLen = mostElements
+	h.StructToArray = true
 	h.ReaderBufferSize = 4096
 	h.WriterBufferSize = 4096
 	return h
