--- a/core/zyagreement/state.go
+++ b/core/zyagreement/state.go
@@ -25,6 +25,8 @@
 	// past holds the versions that were in force before.
 	past    map[zybundle.Hash]bool
 	skipped int
+	// missing is true where records have expired before they were read.
+	missing bool
 }
 
 // Proposal is a version that waits for sign-offs or its roll-out.
@@ -61,6 +63,17 @@
 	return s.inForce.Hash
 }
 
+// Miss notes that records have expired before they were read. Until a
+// checkpoint or a peer tells what is in force, no first version is believed.
+func (s *State) Miss() {
+	s.missing = true
+}
+
+// Missing reports whether it is not known what is in force.
+func (s *State) Missing() bool {
+	return s.missing && s.inForce == nil
+}
+
 // Skipped returns how many records had no effect because they were wrong.
 func (s *State) Skipped() int {
 	return s.skipped
@@ -187,6 +200,9 @@
 	if err := s.authority.verify(e); err != nil {
 		return false, err
 	}
+	if s.Missing() {
+		return false, &RecordError{Problem: "earlier records have expired, so it is not known what is in force"}
+	}
 	if e.Parent != s.Hash() {
 		return false, &LostRaceError{Winner: s.Hash(), Version: s.Version()}
 	}
--- a/core/zyagreement/state_test.go
+++ b/core/zyagreement/state_test.go
@@ -161,6 +161,18 @@
 	}
 }
 
+// TestExpiredHistoryIsNotMadeUp shows that the rest of a log cannot put a first
+// version into force beside the one that its expired records had.
+func TestExpiredHistoryIsNotMadeUp(t *testing.T) {
+	v2 := text(2, 0, "alice", "bob")
+	s := zyagreement.NewState(genesis())
+	s.Miss()
+	err := apply(s, proposal(v2, 2, "alice"), signOff(v2, 2, "bob"), rollOut(v2, 2, "", "alice"))
+	if err == nil || s.Version() != 0 {
+		t.Fatalf("version %d came into force: %v", s.Version(), err)
+	}
+}
+
 func TestPatchCarriesTheWholeText(t *testing.T) {
 	v1, v2 := text(1, 0, "alice", "bob"), text(2, 0, "alice", "bob")
 	s := zyagreement.NewState(genesis())
--- a/io/zynode/follow.go
+++ b/io/zynode/follow.go
@@ -72,6 +72,7 @@
 		var expired *zinniayoke.ExpiredError
 		if errors.As(err, &expired) && expired.First > f.next {
 			f.next = expired.First
+			f.book.Miss()
 			continue
 		}
 		if err != nil {
--- a/io/zynode/rules.go
+++ b/io/zynode/rules.go
@@ -100,3 +100,10 @@
 	defer b.mu.Unlock()
 	return b.since
 }
+
+// Miss notes that records have expired before they were read.
+func (b *ruleBook) Miss() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state.Miss()
+}
--- a/io/zyoperator/operator.go
+++ b/io/zyoperator/operator.go
@@ -48,6 +48,7 @@
 		var expired *zinniayoke.ExpiredError
 		if errors.As(err, &expired) && expired.First > next {
 			next = expired.First
+			state.Miss()
 			continue
 		}
 		if err != nil {
@@ -73,6 +74,9 @@
 	return "no proposal " + string(e.Hash) + " waits for a sign-off or a roll-out"
 }
 
+// ErrHistoryMissing says that the log no longer tells what is in force.
+var ErrHistoryMissing = errors.New("records have expired and no checkpoint tells what is in force; wait for the next checkpoint")
+
 // NoEffectError says that a record is in the log but counts for nothing.
 type NoEffectError struct {
 	Offset  zinniayoke.Offset
@@ -96,6 +100,9 @@
 	if err != nil {
 		return "", err
 	}
+	if state.Missing() {
+		return "", ErrHistoryMissing
+	}
 	if parent := state.InForce(); parent != nil {
 		if err := parent.CheckSuccessor(b); err != nil {
 			return "", fmt.Errorf("bundle: %w", err)
