zyagreement: pass a version on as one link, and zyhome: ask again for a bundle

Cause: a patch still carried the texts of all versions that had changed the approvers; at 183 KB a text (1000 callers, 510 services) that breaks the 2 KB/s. Change: a patch is one link, verified against what the receiver has in force. A recovering keeper asks over connections that end with the answer: 4600 kept ones would not fit 128 MB. Process metrics are exported. An entry asks again when the keeper has no bundle yet (found as a flaky test: 503 unknown).

--- a/core/zyagreement/patch.go
+++ b/core/zyagreement/patch.go
@@ -4,8 +4,9 @@
 	"zinniayoke/core/zybundle"
 )
 
-// Patch is a lineage whose last text is told as the difference from the bundle
-// that the receiver has in force, since most versions change a few lines.
+// Patch is the next link of a lineage, whose text is told as the difference from
+// the bundle that the receiver has in force, since most versions change a few
+// lines.
 type Patch struct {
 	// Base is the hash of the bundle that the difference starts from.
 	Base zybundle.Hash `codec:"b"`
@@ -13,17 +14,20 @@
 	Prefix int    `codec:"p"`
 	Suffix int    `codec:"s"`
 	Middle []byte `codec:"m"`
-	// Links is the lineage without the text of its last link.
-	Links Lineage `codec:"l"`
+	// Link lacks its text.
+	Link Link `codec:"l"`
 }
 
-// PatchFrom returns the lineage as a patch of base. It returns nil where that
-// saves nothing.
+// PatchFrom returns the last link of the lineage as a patch of base. It returns
+// nil where the link does not follow base or where a patch saves little.
 func PatchFrom(base *zybundle.Bundle, lineage Lineage) *Patch {
 	if base == nil || len(lineage) == 0 {
 		return nil
 	}
 	last := lineage[len(lineage)-1]
+	if last.RollOut.Parent != base.Hash {
+		return nil
+	}
 	text := last.Proposal.Text
 	prefix := sharedPrefix(base.Text, text)
 	suffix := sharedSuffix(base.Text[prefix:], text[prefix:])
@@ -31,30 +35,48 @@
 		return nil
 	}
 	last.Proposal.Text = nil
-	links := append(Lineage(nil), lineage...)
-	links[len(links)-1] = last
 	return &Patch{
-		Base: base.Hash, Prefix: prefix, Suffix: suffix,
-		Middle: text[prefix : len(text)-suffix], Links: links,
+		Base: base.Hash, Prefix: prefix, Suffix: suffix, Middle: text[prefix : len(text)-suffix], Link: last,
 	}
 }
 
-// Apply returns the whole lineage. The error is a *RecordError where base is
-// not what the patch starts from.
-func (p *Patch) Apply(base *zybundle.Bundle) (Lineage, error) {
-	if base == nil || base.Hash != p.Base || len(p.Links) == 0 {
-		return nil, &RecordError{Problem: "the patch starts from another bundle"}
+// whole returns the link with its text. The error is a *RecordError where base
+// is not what the patch starts from.
+func (p *Patch) whole(base *zybundle.Bundle) (Link, error) {
+	if base == nil || base.Hash != p.Base {
+		return Link{}, &RecordError{Problem: "the patch starts from another bundle"}
 	}
 	size := len(base.Text)
-	if p.Prefix < 0 || p.Suffix < 0 || p.Prefix+p.Suffix > size {
-		return nil, &RecordError{Problem: "the patch is out of range"}
+	if p.Prefix < 0 || p.Suffix < 0 || p.Prefix > size || p.Suffix > size-p.Prefix {
+		return Link{}, &RecordError{Problem: "the patch is out of range"}
 	}
 	text := append([]byte(nil), base.Text[:p.Prefix]...)
 	text = append(text, p.Middle...)
 	text = append(text, base.Text[size-p.Suffix:]...)
-	lineage := append(Lineage(nil), p.Links...)
-	lineage[len(lineage)-1].Proposal.Text = text
-	return lineage, nil
+	link := p.Link
+	link.Proposal.Text = text
+	return link, nil
+}
+
+// AdoptPatch takes in the next version from a peer and reports whether it is in
+// force now. The error is a *RecordError.
+func (s *State) AdoptPatch(p *Patch) (bool, error) {
+	if p.Link.Proposal.Ver <= s.Version() {
+		return false, nil
+	}
+	link, err := p.whole(s.inForce)
+	if err != nil {
+		return false, err
+	}
+	if link.RollOut.Parent != s.Hash() {
+		return false, &RecordError{Problem: "the patch does not follow what is in force"}
+	}
+	b, err := s.verifyLink(link)
+	if err != nil {
+		return false, err
+	}
+	s.enact(b, s.extend(link))
+	return true, nil
 }
 
 func sharedPrefix(a, b []byte) int {
--- a/core/zyagreement/state.go
+++ b/core/zyagreement/state.go
@@ -279,24 +279,30 @@
 	return true, nil
 }
 
-// follow checks one link against the approvers of the link before.
+// follow takes in one link after the one before.
 func (s *State) follow(link Link) error {
+	b, err := s.verifyLink(link)
+	if err != nil {
+		return err
+	}
+	s.enact(b, append(s.Lineage(), link))
+	return nil
+}
+
+// verifyLink checks one link against the approvers of the version in force.
+func (s *State) verifyLink(link Link) (*zybundle.Bundle, error) {
 	p := link.Proposal
 	if err := s.authority.verify(&p); err != nil {
-		return err
+		return nil, err
 	}
 	if p.Ver <= s.Version() {
-		return &RecordError{Problem: "the lineage steps back"}
+		return nil, &RecordError{Problem: "the lineage steps back"}
 	}
 	b, err := checkProposal(nil, &p)
 	if err != nil {
-		return err
-	}
-	if err := s.verifyConsent(link); err != nil {
-		return err
+		return nil, err
 	}
-	s.enact(b, append(s.Lineage(), link))
-	return nil
+	return b, s.verifyConsent(link)
 }
 
 func (s *State) verifyConsent(link Link) error {
--- a/core/zyagreement/state_test.go
+++ b/core/zyagreement/state_test.go
@@ -183,16 +183,25 @@
 	if patch == nil || len(patch.Middle) > 4 {
 		t.Fatalf("patch %+v", patch)
 	}
-	lineage, err := patch.Apply(base)
-	if err != nil {
-		t.Fatal(err)
-	}
 	other := zyagreement.NewState(genesis())
-	if changed, err := other.Adopt(lineage); !changed || err != nil || other.Hash() != s.Hash() {
+	_ = apply(other, proposal(v1, 1, "alice"), signOff(v1, 1, "bob"), rollOut(v1, 1, "", "alice"))
+	forged := *patch
+	forged.Middle = []byte("9")
+	if changed, err := other.AdoptPatch(&forged); changed || err == nil {
+		t.Error("a patch with another text was taken")
+	}
+	if changed, err := other.AdoptPatch(patch); !changed || err != nil || other.Hash() != s.Hash() {
 		t.Fatalf("adopted %v, %v", changed, err)
 	}
-	if _, err := patch.Apply(s.InForce()); err == nil {
-		t.Fatal("a patch of another bundle was applied")
+	if changed, err := other.AdoptPatch(patch); changed || err != nil {
+		t.Errorf("adopted again %v, %v", changed, err)
+	}
+	if _, err := zyagreement.NewState(genesis()).AdoptPatch(patch); err == nil {
+		t.Error("a patch without its base was taken")
+	}
+	fresh := zyagreement.NewState(genesis())
+	if _, err := fresh.Adopt(other.Lineage()); err != nil || fresh.Hash() != s.Hash() {
+		t.Errorf("the lineage after a patch: %v", err)
 	}
 }
 
--- a/core/zyhome/booker.go
+++ b/core/zyhome/booker.go
@@ -59,7 +59,7 @@
 		}
 		k.turnTo(keeper, b.cfg.Need(c.Route))
 		reply, err := b.cfg.Book(ctx, keeper, &k.call)
-		if err == nil && reply.Reason != zinniayoke.ReasonStaleEpoch {
+		if err == nil && !elsewhere(reply) {
 			return k.final(reply)
 		}
 		if err == nil {
@@ -70,6 +70,12 @@
 	return k.final(last)
 }
 
+// elsewhere reports whether a node has refused to decide about a key: another
+// one keeps it, or the node has no bundle yet.
+func elsewhere(reply *zinniayoke.Reply) bool {
+	return reply.Reason == zinniayoke.ReasonStaleEpoch || reply.Reason == zinniayoke.ReasonNotReady
+}
+
 // turnTo gives a keeper that was not asked before its share of the attempts:
 // all but what one run by another keeper needs. Without enough for a run, the
 // keeper can only hand out what it knows.
--- a/io/zynode/keepers.go
+++ b/io/zynode/keepers.go
@@ -64,7 +64,9 @@
 func (k *keepers) book(ctx context.Context, c *zinniayoke.Call) *zinniayoke.Reply {
 	rules := k.rules()
 	if rules == nil {
-		return unknown(c, zinniayoke.ReasonNotReady, "no bundle is in force at the keeper yet")
+		reply := unknown(c, zinniayoke.ReasonNotReady, "no bundle is in force at the keeper yet")
+		reply.Unused = c.Tokens
+		return reply
 	}
 	route, ok := rules.Routes[c.Route]
 	if !ok {
--- a/io/zynode/node.go
+++ b/io/zynode/node.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
@@ -214,6 +215,7 @@
 
 func (n *Node) makeRequestPath() {
 	n.registry = prometheus.NewRegistry()
+	n.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	n.meter = zymetric.New(zymetric.Config{Registry: n.registry, Rules: n.book.Rules})
 	n.grants = zyclaim.NewGrants(zyclaim.GrantsConfig{Node: n.id, Most: mostKeys, Window: firstKeyWindow})
 	n.keeper = zyclaim.NewKeeper(zyclaim.KeeperConfig{Node: n.id, Most: mostKeys, Window: firstKeyWindow})
--- a/io/zynode/outage_test.go
+++ b/io/zynode/outage_test.go
@@ -54,7 +54,7 @@
 	first, second := s.add("first"), s.add("second")
 	s.roll(bundleText(1))
 	s.worker(second, http.HandlerFunc(answer))
-	s.await("the worker is known", func() bool { return first.Ready() == nil && first.Serving() == 1 })
+	s.await("the worker is known", func() bool { return first.Ready() == nil && second.Ready() == nil && first.Serving() == 1 })
 	s.log.SetFaults(zystandin.LogFaults{Down: true})
 	if status, outcome := s.book(first, "k1"); status != http.StatusOK || outcome != "done" {
 		t.Errorf("a booking without the log: %d %s", status, outcome)
--- a/io/zynode/rules.go
+++ b/io/zynode/rules.go
@@ -41,22 +41,24 @@
 
 // Apply takes in a record of the log.
 func (b *ruleBook) Apply(r zinniayoke.Record) error {
-	b.mu.Lock()
-	previous := b.state.InForce()
-	changed, err := b.state.Apply(r)
-	b.publish(changed, previous)
-	b.mu.Unlock()
-	if changed {
-		b.changed()
-	}
-	return err
+	return b.take(func() (bool, error) { return b.state.Apply(r) })
 }
 
 // Adopt takes in the proof of a bundle from a peer.
 func (b *ruleBook) Adopt(lineage zyagreement.Lineage) error {
+	return b.take(func() (bool, error) { return b.state.Adopt(lineage) })
+}
+
+// AdoptPatch takes in the next version from a peer.
+func (b *ruleBook) AdoptPatch(p *zyagreement.Patch) error {
+	return b.take(func() (bool, error) { return b.state.AdoptPatch(p) })
+}
+
+// take changes the state and makes a new bundle visible.
+func (b *ruleBook) take(change func() (bool, error)) error {
 	b.mu.Lock()
 	previous := b.state.InForce()
-	changed, err := b.state.Adopt(lineage)
+	changed, err := change()
 	b.publish(changed, previous)
 	b.mu.Unlock()
 	if changed {
--- a/io/zynode/spread.go
+++ b/io/zynode/spread.go
@@ -76,18 +76,13 @@
 }
 
 func (s *spreader) adopt(args *zypeer.BundleArgs) error {
-	lineage := args.Lineage
-	if args.Patch != nil {
-		whole, err := args.Patch.Apply(s.book.Rules())
-		if err != nil {
-			return err
-		}
-		lineage = whole
-	}
-	if len(lineage) == 0 {
-		return nil
+	switch {
+	case args.Patch != nil:
+		return s.book.AdoptPatch(args.Patch)
+	case len(args.Lineage) > 0:
+		return s.book.Adopt(args.Lineage)
 	}
-	return s.book.Adopt(lineage)
+	return nil
 }
 
 // Notice fetches the bundle from a peer that has a newer one. One fetch runs at
--- a/io/zypeer/client.go
+++ b/io/zypeer/client.go
@@ -294,10 +294,11 @@
 	return reply, nil
 }
 
-// Recall asks the node at the address for a promise.
+// Recall asks the node at the address for a promise. It uses a connection of its
+// own, since a keeper asks many nodes once.
 func (c *Client) Recall(ctx context.Context, address string, args *RecallArgs) (*zyhome.Recall, error) {
 	reply := &zyhome.Recall{}
-	if err := c.call(ctx, address, "Recall", args, reply); err != nil {
+	if err := c.callFresh(ctx, address, "Recall", args, reply); err != nil {
 		return nil, err
 	}
 	return reply, nil
