--- a/io/zygossip/socket.go
+++ b/io/zygossip/socket.go
@@ -85,10 +85,10 @@
 	s.cfg.Lock.Unlock()
 	s.send(out)
 	s.cfg.OnVersion(p)
-	s.noteChange()
 }
 
-// noteChange tells the node where the list has changed since the last time.
+// noteChange tells the node where the list has changed since the last tick; many
+// packets may bring changes in between.
 func (s *Socket) noteChange() {
 	s.cfg.Lock.Lock()
 	revision := s.cfg.Table.Revision()
--- /dev/null
+++ b/io/zynode/view_bench_test.go
@@ -0,0 +1,39 @@
+package zynode
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"zinniayoke"
+	"zinniayoke/core/zymember"
+)
+
+// BenchmarkRefresh measures rebuilding what the node knows of the others, after
+// each change of the list.
+func BenchmarkRefresh(b *testing.B) {
+	for _, n := range []int{460, 920, 1840, 4600} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			v := newView("self/1", nil)
+			v.mu = sync.Mutex{}
+			v.table = zymember.NewTable(time.Now(), zymember.Config{
+				Self: zinniayoke.Upstream{Node: "self/1"}, Period: time.Second, Random: rand.New(rand.NewPCG(1, 1)),
+			})
+			var all []zymember.Change
+			for i := range n {
+				all = append(all, zymember.Change{Counter: 1, Upstream: zinniayoke.Upstream{
+					Node: zinniayoke.NodeID(fmt.Sprintf("host-%04d/%016x", i, i)), Peer: fmt.Sprint(i),
+					Service: zinniayoke.Service(fmt.Sprintf("s%d", i%510)),
+					Place:   zinniayoke.Place{Domain: zinniayoke.Domain(fmt.Sprintf("d%d", i%10))},
+				}})
+			}
+			v.table.Merge(time.Now(), all)
+			b.ReportAllocs()
+			for range b.N {
+				v.refresh()
+			}
+		})
+	}
+}
