zypick, zyegress: hold calls to other regions to the link's budget

Cause: [link] was read and checked but nothing enforced it; the link is paid for by volume and shared. Change: each node of a region has an even part of the link's rate for its calls; a region without room is not chosen, and a call that has no other upstream is told linkBudget, notRun. Measured: tests only; at 30 Mbit and 8 nodes of a region a node has 469 KB/s.

--- a/core/zyegress/sender.go
+++ b/core/zyegress/sender.go
@@ -28,6 +28,10 @@
 	Suspects *zysuspect.Book
 	Meter    zinniayoke.Meter
 	Rules    func() *zybundle.Bundle
+	// Place is where the sender stands.
+	Place zinniayoke.Place
+	// Links bounds what goes to other regions; nil means no bound.
+	Links *zypick.LinkBudget
 	// NewID returns a fresh attempt id; nil means random ones.
 	NewID func() zinniayoke.AttemptID
 }
@@ -36,6 +40,8 @@
 	askTimeout  = 1 * time.Second
 	askPause    = 100 * time.Millisecond
 	asksOffline = 3
+	// messageOverhead is the size of a message without its body.
+	messageOverhead zinniayoke.Bytes = 512
 )
 
 // Sender sends calls. It may be used by several goroutines. A Sender must be
@@ -142,6 +148,9 @@
 	if refusal != nil {
 		return refused(f.Call, refusal)
 	}
+	if !s.payLink(f.Call, to) {
+		return refused(f.Call, zinniayoke.Refuse(zinniayoke.ReasonLinkBudget, "the link to "+string(to.Place.Region)+" is full"))
+	}
 	share, ok := f.Pool.Spend(f.Route.Calls)
 	if !ok {
 		return refused(f.Call, zinniayoke.Refuse(zinniayoke.ReasonAttemptsSpent, "the request has used up its attempts"))
@@ -181,6 +190,16 @@
 	return u, nil
 }
 
+// payLink takes the size of the call, and of an answer of the same size, from the
+// budget of the link to another region.
+func (s *Sender) payLink(c *zinniayoke.Call, to zinniayoke.Upstream) bool {
+	if s.cfg.Links == nil || to.Place.Region == s.cfg.Place.Region {
+		return true
+	}
+	size := 2 * (zinniayoke.Bytes(len(c.Body)) + messageOverhead)
+	return s.cfg.Links.Take(time.Now(), to.Place.Region, size)
+}
+
 func (s *Sender) judge(content zysuspect.Print) zysuspect.Verdict {
 	rules := s.cfg.Rules()
 	if rules == nil || rules.Released[content.String()] {
--- a/core/zypick/picker.go
+++ b/core/zypick/picker.go
@@ -16,6 +16,8 @@
 	Place  zinniayoke.Place
 	Roster zinniayoke.Roster
 	Random *rand.Rand
+	// Links bounds what goes to other regions; nil means no bound.
+	Links *LinkBudget
 }
 
 const (
@@ -91,6 +93,9 @@
 func (p *Picker) usable(now time.Time, all []zinniayoke.Upstream, exclude []zinniayoke.NodeID) []zinniayoke.Upstream {
 	var list, aside []zinniayoke.Upstream
 	for _, u := range all {
+		if !p.reachable(now, u) {
+			continue
+		}
 		if u.State == zinniayoke.WorkerDraining || u.State == zinniayoke.WorkerGone || slices.Contains(exclude, u.Node) {
 			continue
 		}
@@ -106,6 +111,12 @@
 	return list
 }
 
+// reachable reports whether the link to the upstream's region has room.
+func (p *Picker) reachable(now time.Time, u zinniayoke.Upstream) bool {
+	same := u.Place.Region == p.cfg.Place.Region
+	return same || p.cfg.Links == nil || p.cfg.Links.Room(now, u.Place.Region)
+}
+
 func (p *Picker) inTier(all []zinniayoke.Upstream, tier int) []zinniayoke.Upstream {
 	var list []zinniayoke.Upstream
 	for _, u := range all {
--- /dev/null
+++ b/core/zypick/picker_test.go
@@ -0,0 +1,162 @@
+package zypick_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"zinniayoke"
+	"zinniayoke/core/zypick"
+)
+
+// roster is a fixed list of upstreams.
+type roster []zinniayoke.Upstream
+
+func (r roster) Upstreams(zinniayoke.Service) []zinniayoke.Upstream { return r }
+
+var here = zinniayoke.Place{Domain: "a", Region: "east"}
+
+func upstream(id string, domain zinniayoke.Domain, region zinniayoke.Region) zinniayoke.Upstream {
+	return zinniayoke.Upstream{
+		Node: zinniayoke.NodeID(id), Place: zinniayoke.Place{Domain: domain, Region: region}, Slots: 10, State: zinniayoke.WorkerServing,
+	}
+}
+
+func all() roster {
+	return roster{
+		upstream("near-1", "a", "east"), upstream("near-2", "a", "east"),
+		upstream("region-1", "b", "east"), upstream("far-1", "c", "west"),
+	}
+}
+
+func newPicker(r roster, links *zypick.LinkBudget) *zypick.Picker {
+	return zypick.New(zypick.Config{Place: here, Roster: r, Random: rand.New(rand.NewPCG(1, 1)), Links: links})
+}
+
+// shares picks many times without ever answering and counts the choices.
+func shares(p *zypick.Picker, n int) map[zinniayoke.NodeID]int {
+	counts := make(map[zinniayoke.NodeID]int)
+	now := time.Unix(0, 0)
+	for range n {
+		if u, ok := p.Pick(now, "s", 0, nil); ok {
+			p.Start(now, u.Node)
+			counts[u.Node]++
+		}
+	}
+	return counts
+}
+
+func TestOwnDomainFirstThenFurther(t *testing.T) {
+	for _, c := range []struct {
+		calls                   int
+		region, far             bool
+		mostBeyondRegion, least int
+	}{
+		{calls: 2, least: 2},
+		{calls: 20, region: true, least: 10},
+		{calls: 60, region: true, far: true, least: 20},
+	} {
+		counts := shares(newPicker(all(), nil), c.calls)
+		near := counts["near-1"] + counts["near-2"]
+		if (counts["region-1"] > 0) != c.region || (counts["far-1"] > 0) != c.far || near < c.least {
+			t.Errorf("%d calls: %v", c.calls, counts)
+		}
+	}
+}
+
+func TestFullLinkIsNotUsed(t *testing.T) {
+	links := &zypick.LinkBudget{}
+	now := time.Unix(0, 0)
+	links.Set(now, "west", 1000)
+	p := newPicker(roster{upstream("far-1", "c", "west")}, links)
+	sent := 0
+	for range 10 {
+		if _, ok := p.Pick(now, "s", 0, nil); ok && links.Take(now, "west", 250) {
+			sent++
+		}
+	}
+	if sent != 4 {
+		t.Errorf("%d messages of 250 bytes at once over a share of 1000 bytes a second", sent)
+	}
+	if _, ok := p.Pick(now.Add(time.Second), "s", 0, nil); !ok {
+		t.Error("the link has no room a second later")
+	}
+}
+
+func TestFailingUpstreamIsSetAside(t *testing.T) {
+	p := newPicker(all(), nil)
+	now := time.Unix(0, 0)
+	for range 3 {
+		p.Start(now, "near-1")
+		p.Lost(now, "near-1")
+	}
+	for range 20 {
+		if u, _ := p.Pick(now, "s", 0, nil); u.Node == "near-1" {
+			t.Fatal("an upstream that failed three times was chosen")
+		}
+	}
+	found := false
+	for range 50 {
+		u, _ := p.Pick(now.Add(time.Second), "s", 0, nil)
+		found = found || u.Node == "near-1"
+	}
+	if !found {
+		t.Error("it was not tried again a second later")
+	}
+}
+
+func TestNotAllAreSetAside(t *testing.T) {
+	p := newPicker(all(), nil)
+	now := time.Unix(0, 0)
+	for _, u := range all() {
+		for range 3 {
+			p.Start(now, u.Node)
+			p.Lost(now, u.Node)
+		}
+	}
+	if _, ok := p.Pick(now, "s", 0, nil); !ok {
+		t.Error("no upstream is left although all are there")
+	}
+}
+
+func TestDrainingGoneAndExcludedAreNotChosen(t *testing.T) {
+	list := all()
+	list[0].State = zinniayoke.WorkerDraining
+	list[1].State = zinniayoke.WorkerGone
+	p := newPicker(list, nil)
+	for i := range 50 {
+		u, ok := p.Pick(time.Unix(int64(i), 0), "s", 0, []zinniayoke.NodeID{"far-1"})
+		if !ok || u.Node != "region-1" {
+			t.Fatalf("chosen: %q", u.Node)
+		}
+	}
+}
+
+func TestUpstreamThatShedsTheRankIsPassedOver(t *testing.T) {
+	p := newPicker(all(), nil)
+	now := time.Unix(0, 0)
+	p.Start(now, "near-1")
+	p.Replied(now, "near-1", time.Millisecond, &zinniayoke.Reply{Outcome: zinniayoke.OutcomeNotRun, Threshold: 100})
+	for _, c := range []struct {
+		rank zinniayoke.Rank
+		ok   bool
+	}{{50, false}, {100, true}} {
+		found := false
+		for range 50 {
+			u, _ := p.Pick(now, "s", c.rank, nil)
+			found = found || u.Node == "near-1"
+		}
+		if found != c.ok {
+			t.Errorf("rank %d: chosen %v", c.rank, found)
+		}
+	}
+}
+
+func ExampleLinkBudget() {
+	var links zypick.LinkBudget
+	now := time.Unix(0, 0)
+	links.Set(now, "west", 1000)
+	fmt.Println(links.Take(now, "west", 800), links.Take(now, "west", 800), links.Take(now, "east", 800))
+	// Output: true false true
+}
--- a/io/zynode/node.go
+++ b/io/zynode/node.go
@@ -91,6 +91,7 @@
 	keepers  *keepers
 	entry    *zyentry.Entry
 	picker   *zypick.Picker
+	links    *zypick.LinkBudget
 	suspects *zysuspect.Book
 	meter    *zymetric.Meter
 	registry *prometheus.Registry
@@ -222,8 +223,9 @@
 	n.fence = zyfence.New(zyfence.Config{Most: mostAttempts, MostBytes: mostAnswerBytes, Keep: keepAttempts})
 	parents := &zyparent.Table{}
 	door := zydoor.New()
+	n.links = &zypick.LinkBudget{}
 	n.picker = zypick.New(zypick.Config{
-		Place: n.cfg.Settings.Place, Roster: n.view, Random: rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1)),
+		Place: n.cfg.Settings.Place, Roster: n.view, Links: n.links, Random: rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1)),
 	})
 	n.receiver = zyingress.New(zyingress.Config{
 		Node: n.id, Rules: n.book.Rules, Fence: n.fence, Grants: n.grants, Suspects: n.suspects,
@@ -232,6 +234,7 @@
 	sender := zyegress.New(zyegress.Config{
 		Peers: &localPeers{self: n.id, receiver: n.receiver, remote: n.client}, Picker: n.picker, Roster: n.view, Door: door,
 		Budgets: zyattempt.NewBudgets(), Suspects: n.suspects, Meter: n.meter, Rules: n.book.Rules,
+		Place: n.cfg.Settings.Place, Links: n.links,
 	})
 	n.keepers = &keepers{
 		node: n.id, view: n.view, client: n.client, rules: n.book.Rules, ask: n.receiver.Ask,
@@ -385,7 +388,27 @@
 	n.home.Retain()
 }
 
+// shareLinks gives the node its part of each link: the link's rate divided by
+// the nodes of its own region, which share it.
+func (n *Node) shareLinks(now time.Time) {
+	rules := n.book.Rules()
+	if rules == nil {
+		return
+	}
+	own := n.cfg.Settings.Place.Region
+	nodes := max(n.view.InRegion(own), 1)
+	for pair, link := range rules.Links {
+		switch own {
+		case pair.Low:
+			n.links.Set(now, pair.High, float64(link.Rate)/float64(nodes))
+		case pair.High:
+			n.links.Set(now, pair.Low, float64(link.Rate)/float64(nodes))
+		}
+	}
+}
+
 func (n *Node) upkeep(now time.Time) {
+	n.shareLinks(now)
 	n.home.Upkeep(now)
 	n.keeper.Sweep(now)
 	n.picker.Sweep(now)
--- a/io/zynode/view.go
+++ b/io/zynode/view.go
@@ -154,3 +154,14 @@
 	}
 	return list
 }
+
+// InRegion returns how many nodes of a region are there.
+func (v *view) InRegion(r zinniayoke.Region) int {
+	nodes := 0
+	for _, m := range v.current.Load().members {
+		if isHere(m) && m.Upstream.Place.Region == r {
+			nodes++
+		}
+	}
+	return nodes
+}
