--- a/cmd/zinniayoke/demo.go
+++ b/cmd/zinniayoke/demo.go
@@ -25,6 +25,7 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "deployment", Value: "hollander", Usage: "hollander or tabighi"},
 			&cli.DurationFlag{Name: "duration", Value: usualDuration, Usage: "time of the three phases together"},
+			&cli.BoolFlag{Name: "faults", Usage: "add failures to the surge: log down, host lost, worker restarted"},
 			&cli.BoolFlag{Name: "json", Usage: "print the report as JSON"},
 			&cli.BoolFlag{Name: "logs", Usage: "show the logs of the nodes"},
 		},
@@ -33,7 +34,7 @@
 }
 
 func runDemo(ctx context.Context, c *cli.Command) error {
-	cfg := zydemo.Config{Deployment: c.String("deployment"), Duration: c.Duration("duration"), Logs: io.Discard, Progress: os.Stderr}
+	cfg := zydemo.Config{Deployment: c.String("deployment"), Duration: c.Duration("duration"), Logs: io.Discard, Progress: os.Stderr, Faults: c.Bool("faults")}
 	if c.Bool("logs") {
 		cfg.Logs = os.Stderr
 	}
--- a/io/zydemo/demo.go
+++ b/io/zydemo/demo.go
@@ -10,17 +10,14 @@
 	"net"
 	"net/http"
 	"sort"
+	"sync"
 	"time"
 
-	"go.uber.org/fx"
-
 	"zinniayoke"
 	"zinniayoke/core/zyagreement"
-	"zinniayoke/core/zysettings"
 	"zinniayoke/examples"
 	"zinniayoke/io/zyload"
 	"zinniayoke/io/zylog"
-	"zinniayoke/io/zynode"
 	"zinniayoke/io/zyoperator"
 	"zinniayoke/io/zystandin"
 )
@@ -30,6 +27,9 @@
 	Deployment string
 	// Duration is the time of the three phases together.
 	Duration time.Duration
+	// Faults adds failures to the surge: the log is down, a host is lost and
+	// replaced, and a worker restarts.
+	Faults bool
 	// Progress receives what happens; nil discards it.
 	Progress io.Writer
 	// Logs receives the logs of the nodes.
@@ -97,11 +97,11 @@
 	deployment Deployment
 	log        *zystandin.Log
 	logAddress string
-	apps       []*fx.App
-	nodes      []*zynode.Node
-	workers    []*zystandin.Worker
-	servers    []*http.Server
-	cancel     context.CancelFunc
+	hosts      []*host
+	// past holds the hosts that were lost; what their workers ran still counts.
+	past    []*host
+	servers []*http.Server
+	cancel  context.CancelFunc
 }
 
 const (
@@ -136,7 +136,7 @@
 		return nil, err
 	}
 	ready := time.Since(start)
-	d.sayf("%d nodes are ready after %.1fs.", len(d.nodes), ready.Seconds())
+	d.sayf("%d nodes are ready after %.1fs.", len(d.hosts), ready.Seconds())
 	report := d.load(ctx)
 	report.ReadySeconds = ready.Seconds()
 	return report, nil
@@ -155,9 +155,11 @@
 	d.logAddress = address
 	for _, place := range d.deployment.Domains {
 		for _, s := range d.deployment.Services {
-			if err := d.startHost(ctx, place, s); err != nil {
+			h, err := d.startHost(ctx, place, s)
+			if err != nil {
 				return err
 			}
+			d.hosts = append(d.hosts, h)
 		}
 	}
 	return nil
@@ -174,51 +176,6 @@
 	return listener.Addr().String(), nil
 }
 
-// startHost brings one node and its worker up.
-func (d *demo) startHost(ctx context.Context, place zinniayoke.Place, s Service) error {
-	var node *zynode.Node
-	app := zynode.App(zynode.Config{Settings: d.settings(place, s), Output: d.cfg.Logs}, fx.Populate(&node))
-	if err := app.Start(ctx); err != nil {
-		return fmt.Errorf("node: %w", err)
-	}
-	d.apps = append(d.apps, app)
-	d.nodes = append(d.nodes, node)
-	ports := node.Addresses()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return fmt.Errorf("worker: %w", err)
-	}
-	worker := zystandin.NewWorker(zystandin.WorkerConfig{
-		Service: s.Name, Slots: s.Slots, Connections: s.Connections, Actions: s.Actions,
-		NodeCaller: ports.Caller, NodeUpstream: ports.Upstream, Address: listener.Addr().String(),
-	})
-	server := &http.Server{Handler: worker, ReadHeaderTimeout: callTimeout}
-	d.servers = append(d.servers, server)
-	d.workers = append(d.workers, worker)
-	go func() { _ = server.Serve(listener) }()
-	go worker.KeepAnnouncing(ctx)
-	return nil
-}
-
-// settings returns the settings of one node, with ports that the system picks.
-func (d *demo) settings(place zinniayoke.Place, s Service) *zysettings.Settings {
-	const anyPort = "127.0.0.1:0"
-	var seeds []string
-	if len(d.nodes) > 0 {
-		seeds = append(seeds, d.nodes[0].Addresses().Peer)
-	}
-	key := sha256.Sum256([]byte("demo peers"))
-	return &zysettings.Settings{
-		Host:   string(place.Domain) + "-" + string(s.Name),
-		Place:  place,
-		Listen: zysettings.Listen{Caller: anyPort, Upstream: anyPort, Peer: anyPort, Admin: anyPort},
-		Seeds:  seeds, PeerKey: key[:], Log: d.logAddress,
-		Logging:  zysettings.Logging{Level: "warn", Format: "text"},
-		Genesis:  zysettings.Genesis{Approvals: 1, Approvers: genesis().Approvers},
-		Shutdown: zysettings.Shutdown{Grace: callTimeout},
-	}
-}
-
 // OperatorKey returns the key of one of the demo's operators.
 func OperatorKey(name string) ed25519.PrivateKey {
 	seed := sha256.Sum256([]byte("zinniayoke demo " + name))
@@ -282,8 +239,8 @@
 }
 
 func (d *demo) allReady() bool {
-	for _, n := range d.nodes {
-		if n.Ready() != nil || n.Serving() < len(d.nodes) {
+	for _, h := range d.hosts {
+		if h.node.Ready() != nil || h.node.Serving() < len(d.hosts) {
 			return false
 		}
 	}
@@ -292,9 +249,9 @@
 
 // load runs the three phases.
 func (d *demo) load(ctx context.Context) *Report {
-	entries := make([]string, 0, len(d.nodes))
-	for _, n := range d.nodes {
-		entries = append(entries, n.Addresses().Caller)
+	entries := make([]string, 0, len(d.hosts))
+	for _, h := range d.hosts {
+		entries = append(entries, h.node.Addresses().Caller)
 	}
 	g := zyload.New(zyload.Config{Entries: entries, Timeout: callTimeout, MostOpen: mostOpen})
 	phase := d.cfg.Duration / phases
@@ -310,6 +267,9 @@
 	d.sayf("Surge: five times the load, and failed calls are sent again up to %d times at once.", surgeResends)
 	surge, stopSurge := context.WithTimeout(steady, phase)
 	defer stopSurge()
+	if d.cfg.Faults {
+		go d.injectFaults(ctx, phase)
+	}
 	g.Run(surge, d.deployment.Surge)
 	passed := g.Since()
 	d.sayf("Steady load again.")
@@ -342,9 +302,11 @@
 // audit compares what callers were told with what the workers ran.
 func (d *demo) audit(r *Report, told map[string]string) {
 	runs := make(map[string]int)
-	for _, w := range d.workers {
-		for id, n := range w.Runs() {
-			runs[id] += n
+	for _, h := range append(d.past, d.hosts...) {
+		for _, w := range h.workers {
+			for id, n := range w.Runs() {
+				runs[id] += n
+			}
 		}
 	}
 	for id, n := range runs {
@@ -364,7 +326,7 @@
 
 func (d *demo) allowedAttempts() int {
 	most := 0
-	for _, route := range d.nodes[0].Rules().Routes {
+	for _, route := range d.hosts[0].node.Rules().Routes {
 		most = max(most, int(route.Attempts))
 	}
 	return most
@@ -374,16 +336,11 @@
 func (d *demo) stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
-	done := make(chan struct{}, len(d.apps))
-	for _, app := range d.apps {
-		go func() {
-			_ = app.Stop(ctx)
-			done <- struct{}{}
-		}()
-	}
-	for range d.apps {
-		<-done
+	var active sync.WaitGroup
+	for _, h := range d.hosts {
+		active.Go(func() { _ = h.app.Stop(ctx) })
 	}
+	active.Wait()
 	d.cancel()
 	for _, s := range d.servers {
 		_ = s.Close()
--- a/io/zynode/stop.go
+++ b/io/zynode/stop.go
@@ -65,3 +65,12 @@
 	n.receiver.Close()
 	n.timer.Stop()
 }
+
+// Abort ends the node as a crash does: without a word to the others, and with
+// all calls cut. It is for demos and tests.
+func (n *Node) Abort() {
+	for _, sub := range n.subs {
+		sub.Cancel()
+	}
+	n.close()
+}
