zyclaim: the loss of one host leaves no new key unknown

Change: it is excused where the other nodes testify that it was the only keeper; a keeper with no other worker than its own has its keys copied first; a leaving node has two heirs; a keeper checks before each send that it is still in charge. The test's timeouts obey the bundle's rule (window = 2 timeouts).

--- a/core/zyclaim/grants.go
+++ b/core/zyclaim/grants.go
@@ -36,11 +36,36 @@
 type Grants struct {
 	cfg      GrantsConfig
 	mu       sync.Mutex
-	promises map[zinniayoke.Slot]zinniayoke.Epoch
+	promises map[zinniayoke.Slot]promise
 	keys     map[zinniayoke.Key]*held
 	order    []aged
 }
 
+// promise is the newest epoch of a slot that the node has promised.
+type promise struct {
+	epoch zinniayoke.Epoch
+	// since is when the keeper of the epoch was first promised.
+	since time.Time
+	// first is true where no other keeper was promised before.
+	first bool
+}
+
+// Witness says whom a node has promised to obey for a slot.
+type Witness struct {
+	Slot  zinniayoke.Slot  `codec:"s"`
+	Epoch zinniayoke.Epoch `codec:"e"`
+	// Settled is true where that keeper has been the only one for as long as
+	// anybody remembers keys.
+	Settled bool `codec:"t"`
+	// First is true where the node knows of no keeper before. It proves
+	// something only if all nodes say so, since some may be new.
+	First bool `codec:"f"`
+}
+
+// settleWindows is after how many windows nobody remembers a key of the keeper
+// before: its last run may end half a window later, and is remembered for one.
+const settleWindows = 3
+
 type held struct {
 	Held
 	at time.Time
@@ -55,7 +80,7 @@
 func NewGrants(cfg GrantsConfig) *Grants {
 	return &Grants{
 		cfg:      cfg,
-		promises: make(map[zinniayoke.Slot]zinniayoke.Epoch),
+		promises: make(map[zinniayoke.Slot]promise),
 		keys:     make(map[zinniayoke.Key]*held),
 	}
 }
@@ -68,21 +93,22 @@
 }
 
 // Promise refuses all keepers of the slots that are older than epoch from now
-// on, and returns what is remembered of the slots. It returns a
-// *zinniayoke.CallError where a newer epoch was promised before.
-func (g *Grants) Promise(now time.Time, slots []zinniayoke.Slot, epoch zinniayoke.Epoch) ([]Held, error) {
+// on, and returns what is remembered of the slots and whom the node obeyed before.
+// It returns a *zinniayoke.CallError where a newer epoch was promised before.
+func (g *Grants) Promise(now time.Time, slots []zinniayoke.Slot, epoch zinniayoke.Epoch) ([]Held, []Witness, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.sweep(now)
 	wanted := make(map[zinniayoke.Slot]bool, len(slots))
 	for _, s := range slots {
-		if epoch.Less(g.promises[s]) {
-			return nil, stale()
+		if epoch.Less(g.promises[s].epoch) {
+			return nil, nil, stale()
 		}
 		wanted[s] = true
 	}
+	witnesses := g.witness(now, slots)
 	for _, s := range slots {
-		g.promises[s] = epoch
+		g.obey(now, s, epoch)
 	}
 	var list []Held
 	for _, h := range g.keys {
@@ -90,14 +116,37 @@
 			list = append(list, h.export(now))
 		}
 	}
-	return list, nil
+	return list, witnesses, nil
+}
+
+// witness tells whom the node has obeyed for the slots so far.
+func (g *Grants) witness(now time.Time, slots []zinniayoke.Slot) []Witness {
+	var list []Witness
+	for _, s := range slots {
+		if p, ok := g.promises[s]; ok {
+			settled := now.Sub(p.since) > settleWindows*g.cfg.Window
+			list = append(list, Witness{Slot: s, Epoch: p.epoch, Settled: settled, First: p.first})
+		}
+	}
+	return list
+}
+
+// obey promises an epoch.
+func (g *Grants) obey(now time.Time, s zinniayoke.Slot, epoch zinniayoke.Epoch) {
+	old, known := g.promises[s]
+	if known && old.epoch.Node == epoch.Node {
+		old.epoch = epoch
+		g.promises[s] = old
+		return
+	}
+	g.promises[s] = promise{epoch: epoch, since: now, first: !known}
 }
 
 // Promised returns the newest epoch that was promised for a slot.
 func (g *Grants) Promised(slot zinniayoke.Slot) zinniayoke.Epoch {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.promises[slot]
+	return g.promises[slot].epoch
 }
 
 // Begin notes that the worker is about to be handed the attempt. The error is a
@@ -106,7 +155,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.sweep(now)
-	if a.Grant.Epoch.Less(g.promises[a.Grant.Slot]) {
+	if a.Grant.Epoch.Less(g.promises[a.Grant.Slot].epoch) {
 		return stale()
 	}
 	if h, ok := g.keys[a.Key]; ok && h.Attempt != a.ID {
@@ -115,7 +164,7 @@
 	if len(g.keys) >= g.cfg.Most {
 		return zinniayoke.Refuse(zinniayoke.ReasonTableFull, "too many keys are remembered")
 	}
-	g.promises[a.Grant.Slot] = a.Grant.Epoch
+	g.hear(now, a.Grant.Slot, a.Grant.Epoch)
 	g.put(now, Held{
 		Key: a.Key, Slot: a.Grant.Slot, BodyHash: a.BodyHash, Attempt: a.ID,
 		Node: g.cfg.Node, Fate: zinniayoke.FateRunning,
@@ -123,6 +172,16 @@
 	return nil
 }
 
+// hear promises an epoch that came without a recovery, as to a node that was not
+// there then. It says nothing about keepers before.
+func (g *Grants) hear(now time.Time, s zinniayoke.Slot, epoch zinniayoke.Epoch) {
+	g.obey(now, s, epoch)
+	if p := g.promises[s]; p.since.Equal(now) {
+		p.first = false
+		g.promises[s] = p
+	}
+}
+
 // End notes how the attempt ended. An attempt that never reached the worker is
 // forgotten, so that the key can be granted again.
 func (g *Grants) End(now time.Time, key zinniayoke.Key, id zinniayoke.AttemptID, reply *zinniayoke.Reply) {
@@ -155,22 +214,26 @@
 		list = append(list, h.export(now))
 	}
 	promises := make(map[zinniayoke.Slot]zinniayoke.Epoch, len(g.promises))
-	for s, e := range g.promises {
-		promises[s] = e
+	for s, p := range g.promises {
+		promises[s] = p.epoch
 	}
 	return list, promises
 }
 
-// Inherit takes in what a leaving node remembers.
+// Inherit takes in what a leaving node remembers. What still ran there is lost
+// with it. A negative age lets a key be remembered for longer.
 func (g *Grants) Inherit(now time.Time, list []Held, promises map[zinniayoke.Slot]zinniayoke.Epoch) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for s, e := range promises {
-		if g.promises[s].Less(e) {
-			g.promises[s] = e
+		if g.promises[s].epoch.Less(e) {
+			g.hear(now, s, e)
 		}
 	}
 	for _, h := range list {
+		if h.Fate == zinniayoke.FateRunning {
+			h.Fate = zinniayoke.FateLost
+		}
 		if _, ok := g.keys[h.Key]; !ok {
 			g.put(now.Add(-h.Age), h)
 		}
--- a/core/zyclaim/keeper.go
+++ b/core/zyclaim/keeper.go
@@ -151,11 +151,15 @@
 	return Decision{Step: StepRun, Grant: zinniayoke.Grant{Slot: slot, Epoch: s.epoch}, Tokens: left}
 }
 
+// lostWindows is after how many windows a lost node is counted out. It may run a
+// key that was on its way to it for half a window, and remembers it for one.
+const lostWindows = 2
+
 // blocked reports whether a node that may remember unknown keys of the slot is
-// still out of reach. After the window nobody remembers anything.
+// still out of reach. After some time nobody remembers anything.
 func (k *Keeper) blocked(now time.Time, s *slotState) bool {
 	for node, lost := range s.missing {
-		if now.Sub(lost) > k.cfg.Window {
+		if now.Sub(lost) > lostWindows*k.cfg.Window {
 			delete(s.missing, node)
 		}
 	}
--- a/core/zyclaim/recovery.go
+++ b/core/zyclaim/recovery.go
@@ -13,6 +13,9 @@
 	held  []Held
 	// missing holds the nodes that did not answer, with the time of their loss.
 	missing map[zinniayoke.NodeID]time.Time
+	// latest is the newest keeper of each slot that some node has obeyed, and
+	// settled whether it was the only one for as long as anybody remembers.
+	latest map[zinniayoke.Slot]Witness
 }
 
 // Closed returns those of the slots that are not open at this keeper.
@@ -41,12 +44,39 @@
 		Slots:   slots,
 		Epoch:   zinniayoke.Epoch{Major: highest.Major + 1, Node: k.cfg.Node},
 		missing: make(map[zinniayoke.NodeID]time.Time),
+		latest:  make(map[zinniayoke.Slot]Witness),
 	}
 }
 
 // Told adds what a node remembers that has promised the epoch.
-func (r *Recovery) Told(list []Held) {
+func (r *Recovery) Told(list []Held, witnesses []Witness) {
 	r.held = append(r.held, list...)
+	for _, w := range witnesses {
+		old, known := r.latest[w.Slot]
+		switch {
+		case !known:
+			r.latest[w.Slot] = w
+		case old.Epoch.Node != w.Epoch.Node:
+			// Some node has obeyed another keeper, so there was one before.
+			if old.Epoch.Less(w.Epoch) {
+				old = w
+			}
+			old.First = false
+			r.latest[w.Slot] = old
+		case old.Epoch.Node == w.Epoch.Node:
+			old.Settled = old.Settled || w.Settled
+			old.First = old.First && w.First
+			r.latest[w.Slot] = old
+		}
+	}
+}
+
+// excused reports whether a node that is missing cannot remember keys of the
+// slot: it kept the slot itself all the time, and a keeper never sends keys to
+// its own host.
+func (r *Recovery) excused(slot zinniayoke.Slot, node zinniayoke.NodeID) bool {
+	w, ok := r.latest[slot]
+	return ok && (w.Settled || w.First) && w.Epoch.Node == node
 }
 
 // Missing notes a node that did not answer and when it was lost.
@@ -71,7 +101,9 @@
 			keys:    keepOld(old),
 		}
 		for node, lost := range r.missing {
-			s.missing[node] = lost
+			if !r.excused(slot, node) {
+				s.missing[node] = lost
+			}
 		}
 		k.slots[slot] = s
 		k.keys += len(s.keys)
--- a/core/zyclaim/slot.go
+++ b/core/zyclaim/slot.go
@@ -31,11 +31,21 @@
 	return best
 }
 
-// HeirOf returns the member that takes over what node remembers when it leaves,
-// or "" where there is no other.
-func HeirOf(node zinniayoke.NodeID, members []zinniayoke.NodeID) zinniayoke.NodeID {
+// heirs is how many members take over what a leaving node remembers. There are
+// two, so that no key is remembered only by its own keeper.
+const heirs = 2
+
+// HeirsOf returns the members that take over what node remembers when it leaves;
+// fewer than two where there are no others.
+func HeirsOf(node zinniayoke.NodeID, members []zinniayoke.NodeID) []zinniayoke.NodeID {
 	others := slices.DeleteFunc(slices.Clone(members), func(m zinniayoke.NodeID) bool { return m == node })
-	return KeeperOf(zinniayoke.Slot{Domain: zinniayoke.Domain(node)}, others)
+	var list []zinniayoke.NodeID
+	for len(list) < heirs && len(others) > 0 {
+		next := KeeperOf(zinniayoke.Slot{Domain: zinniayoke.Domain(node)}, others)
+		list = append(list, next)
+		others = slices.DeleteFunc(others, func(m zinniayoke.NodeID) bool { return m == next })
+	}
+	return list
 }
 
 func weight(slot zinniayoke.Slot, m zinniayoke.NodeID) uint64 {
--- a/core/zyhome/home.go
+++ b/core/zyhome/home.go
@@ -23,6 +23,8 @@
 	Promised zinniayoke.Epoch `codec:"p"`
 	Refused  bool             `codec:"r"`
 	Held     []zyclaim.Held   `codec:"h"`
+	// Witnesses tell whom the node has obeyed so far.
+	Witnesses []zyclaim.Witness `codec:"w"`
 }
 
 // Elders asks other nodes about keys.
@@ -31,6 +33,8 @@
 	Recall(ctx context.Context, node zinniayoke.NodeID, slots []zinniayoke.Slot, epoch zinniayoke.Epoch) (*Recall, error)
 	// Ask asks a node what became of an attempt.
 	Ask(ctx context.Context, node zinniayoke.NodeID, id zinniayoke.AttemptID) (*zinniayoke.AskReply, error)
+	// Keep lets a node remember a key that is about to run on this host.
+	Keep(ctx context.Context, node zinniayoke.NodeID, key zyclaim.Held) error
 }
 
 // Roll knows which nodes keep keys and which may remember some.
@@ -189,7 +193,7 @@
 	reply := h.cfg.Sender.Do(ctx, zyegress.Send{
 		Call: c, Route: route, Pool: pool, Grant: d.Grant,
 		Before: func(id zinniayoke.AttemptID, to zinniayoke.NodeID) bool {
-			return h.cfg.Keeper.Sent(time.Now(), d.Grant, c.Key, id, to)
+			return h.decides(d.Grant) && h.copied(ctx, c, d.Grant, id, to) && h.cfg.Keeper.Sent(time.Now(), d.Grant, c.Key, id, to)
 		},
 		Avoid: []zinniayoke.NodeID{h.cfg.Node},
 	})
@@ -207,6 +211,26 @@
 	close(s.done)
 }
 
+// copied reports whether another node remembers the attempt. One on this
+// keeper's own host, which is chosen only where there is no other worker, has to
+// be copied, since the loss of the host would take both memories of the key.
+func (h *Home) copied(ctx context.Context, c *zinniayoke.Call, g zinniayoke.Grant, id zinniayoke.AttemptID, to zinniayoke.NodeID) bool {
+	if to != h.cfg.Node {
+		return true
+	}
+	there, _ := h.cfg.Roll.Memories()
+	heirs := zyclaim.HeirsOf(h.cfg.Node, there)
+	if len(heirs) == 0 {
+		return true // No other node is there to take the key over either.
+	}
+	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
+	defer cancel()
+	return h.cfg.Elders.Keep(ctx, heirs[0], zyclaim.Held{
+		Key: c.Key, Slot: g.Slot, BodyHash: c.BodyHash, Attempt: id, Node: to,
+		Fate: zinniayoke.FateLost, Age: -time.Until(c.Deadline),
+	}) == nil
+}
+
 // ask finds out what became of a run that ended without an answer.
 func (h *Home) ask(ctx context.Context, c *zinniayoke.Call, d zyclaim.Decision) (*zinniayoke.Reply, bool) {
 	short, cancel := context.WithTimeout(ctx, recallTimeout)
@@ -381,7 +405,7 @@
 				highest = a.recall.Promised
 			}
 		default:
-			r.Told(a.recall.Held)
+			r.Told(a.recall.Held, a.recall.Witnesses)
 		}
 	}
 	return highest, refused
@@ -423,7 +447,7 @@
 // Recall promises the epoch and returns what is remembered of the slots.
 func (a Answerer) Recall(slots []zinniayoke.Slot, epoch zinniayoke.Epoch) *Recall {
 	now := time.Now()
-	held, err := a.Grants.Promise(now, slots, epoch)
+	held, witnesses, err := a.Grants.Promise(now, slots, epoch)
 	if refusal := (*zinniayoke.CallError)(nil); errors.As(err, &refusal) {
 		recall := &Recall{Refused: true}
 		for _, slot := range slots {
@@ -433,7 +457,7 @@
 		}
 		return recall
 	}
-	return &Recall{Held: append(held, a.Keeper.Surrender(now, slots, epoch)...)}
+	return &Recall{Held: append(held, a.Keeper.Surrender(now, slots, epoch)...), Witnesses: witnesses}
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
--- a/core/zyhome/home_test.go
+++ b/core/zyhome/home_test.go
@@ -36,6 +36,8 @@
 	lost   map[zinniayoke.NodeID]time.Time
 	runs   int
 	parted bool
+	// lostFor is for how long a node has been lost; 0 means that none is.
+	lostFor time.Duration
 	// movedFrom is the caller's old home, whose keeper says gaveUp.
 	movedFrom zinniayoke.Domain
 	gaveUp    *zyhome.GaveUp
@@ -46,9 +48,14 @@
 	return &zyhome.Recall{Held: s.held}, nil
 }
 
+func (s *system) Keep(context.Context, zinniayoke.NodeID, zyclaim.Held) error { return nil }
+
 func (s *system) Keepers(zinniayoke.Domain) []zinniayoke.NodeID { return []zinniayoke.NodeID{self} }
 
 func (s *system) Memories() ([]zinniayoke.NodeID, map[zinniayoke.NodeID]time.Time) {
+	if s.lostFor > 0 {
+		return []zinniayoke.NodeID{worker}, map[zinniayoke.NodeID]time.Time{gone: time.Now().Add(-s.lostFor)}
+	}
 	return []zinniayoke.NodeID{worker}, s.lost
 }
 
@@ -155,6 +162,10 @@
 			1, zinniayoke.OutcomeUnknown, zinniayoke.ReasonKeyUncertain, 0},
 		{"a key while the old home is out of reach", system{movedFrom: "old"},
 			1, zinniayoke.OutcomeUnknown, zinniayoke.ReasonKeyUncertain, 0},
+		{"a node that may have run a late message", system{lostFor: 90 * time.Second, answer: done},
+			1, zinniayoke.OutcomeUnknown, zinniayoke.ReasonKeyUncertain, 0},
+		{"a node that was lost for two windows", system{lostFor: 121 * time.Second, answer: done},
+			1, zinniayoke.OutcomeDone, zinniayoke.ReasonNone, 1},
 		{"a new key without a quorum", system{parted: true, answer: done}, 1, zinniayoke.OutcomeUnknown, zinniayoke.ReasonKeyUncertain, 0},
 		{"a node that was lost before the window", system{lost: map[zinniayoke.NodeID]time.Time{gone: {}}, answer: done},
 			1, zinniayoke.OutcomeDone, zinniayoke.ReasonNone, 1},
--- a/core/zyingress/receiver_test.go
+++ b/core/zyingress/receiver_test.go
@@ -250,7 +250,7 @@
 		{"attempt that came before", func(b *bench, a *zinniayoke.Attempt) { b.Run(context.Background(), a) }, zinniayoke.OutcomeUnknown, zinniayoke.ReasonFenced},
 		{"grant of an old keeper", func(b *bench, a *zinniayoke.Attempt) {
 			a.Key, a.Grant = "k", zinniayoke.Grant{Slot: zinniayoke.Slot{Domain: "d"}, Epoch: zinniayoke.Epoch{Major: 1}}
-			if _, err := b.grants.Promise(time.Now(), []zinniayoke.Slot{a.Grant.Slot}, zinniayoke.Epoch{Major: 2}); err != nil {
+			if _, _, err := b.grants.Promise(time.Now(), []zinniayoke.Slot{a.Grant.Slot}, zinniayoke.Epoch{Major: 2}); err != nil {
 				panic(err)
 			}
 		}, zinniayoke.OutcomeNotRun, zinniayoke.ReasonStaleEpoch},
--- a/io/zynode/keepers.go
+++ b/io/zynode/keepers.go
@@ -97,6 +97,15 @@
 	return k.client.Recall(ctx, u.Peer, &zypeer.RecallArgs{Slots: slots, Epoch: epoch})
 }
 
+// Keep lets a node remember a key that is about to run on this host.
+func (k *keepers) Keep(ctx context.Context, node zinniayoke.NodeID, key zyclaim.Held) error {
+	u, ok := k.view.Find(node)
+	if !ok {
+		return &UnknownNodeError{Node: node}
+	}
+	return k.client.Inherit(ctx, u.Peer, &zypeer.InheritArgs{Held: []zyclaim.Held{key}})
+}
+
 // Ask asks a node, which may be this one, what became of an attempt.
 func (k *keepers) Ask(ctx context.Context, node zinniayoke.NodeID, id zinniayoke.AttemptID) (*zinniayoke.AskReply, error) {
 	if node == k.node {
--- a/io/zynode/stop.go
+++ b/io/zynode/stop.go
@@ -32,17 +32,22 @@
 	return errors.Join(failures...)
 }
 
-// handOver gives what this node remembers of keys to its heir. Only then it
+// handOver gives what this node remembers of keys to its heirs. Only then it
 // leaves the list as planned; else it is lost for those who ask for keys.
 func (n *Node) handOver(ctx context.Context) {
-	heir := zyclaim.HeirOf(n.id, n.view.Keepers(n.cfg.Settings.Place.Domain))
+	heirs := zyclaim.HeirsOf(n.id, n.view.Keepers(n.cfg.Settings.Place.Domain))
 	held, promises := n.grants.Export(time.Now())
 	args := &zypeer.InheritArgs{Held: held}
 	for slot, epoch := range promises {
 		args.Promises = append(args.Promises, zypeer.Promise{Slot: slot, Epoch: epoch})
 	}
-	u, ok := n.view.Find(heir)
-	if !ok || n.client.Inherit(ctx, u.Peer, args) != nil {
+	taken := 0
+	for _, heir := range heirs {
+		if u, ok := n.view.Find(heir); ok && n.client.Inherit(ctx, u.Peer, args) == nil {
+			taken++
+		}
+	}
+	if taken == 0 || taken < len(heirs) {
 		n.log.Warn("Nobody takes over the keys of this node.")
 		return
 	}
--- a/path_test.go
+++ b/path_test.go
@@ -113,10 +113,13 @@
 )
 
 const (
-	// keyWindow is shorter than the deadlines, so that a keeper can wake up
-	// after the window with a request that is still wanted.
-	keyWindow = 4 * time.Second
-	mostSends = 3
+	// keyWindow is twice the usual timeout, the least that a bundle may have.
+	keyWindow    = 4 * time.Second
+	usualTimeout = keyWindow / 2
+	// longTimeout lets a keeper wake up after the window with a request that is
+	// still wanted.
+	longTimeout = 2 * keyWindow
+	mostSends   = 3
 
 	silence  = 1 * time.Second
 	lateness = 3 * time.Second
@@ -182,12 +185,15 @@
 	o.ran[key] = time.Now()
 }
 
-func newWorld(seed uint64, m mutation) *world {
+func newWorld(seed uint64, m mutation, timeout time.Duration) *world {
 	rules, err := zybundle.Parse("path", []byte(pathBundle))
 	if err != nil {
 		panic(err)
 	}
 	rules.KeyWindow = keyWindow
+	for _, route := range rules.Routes {
+		route.Timeout = timeout
+	}
 	w := &world{
 		rules: rules, timer: zytimer.New(), mutation: m, random: rand.New(rand.NewPCG(seed, 1)),
 		gone: make(map[zinniayoke.NodeID]time.Time),
@@ -541,6 +547,15 @@
 	return target.memory.Recall(slots, epoch), nil
 }
 
+func (e elders) Keep(ctx context.Context, node zinniayoke.NodeID, key zyclaim.Held) error {
+	target := e.h.world.find(node)
+	if err := e.h.reach(ctx, target); err != nil {
+		return err
+	}
+	target.memory.Grants.Inherit(time.Now(), []zyclaim.Held{key}, nil)
+	return e.h.reach(ctx, target)
+}
+
 func (e elders) Ask(ctx context.Context, node zinniayoke.NodeID, id zinniayoke.AttemptID) (*zinniayoke.AskReply, error) {
 	target := e.h.world.find(node)
 	if err := e.h.reach(ctx, target); err != nil {
--- a/promise_test.go
+++ b/promise_test.go
@@ -123,13 +123,15 @@
 	if err := h.receiver.Drain(ctx); err != nil {
 		t.Fatalf("calls were cut: %v", err)
 	}
-	heir := w.find(zyclaim.HeirOf(h.id, h.Keepers(h.place.Domain)))
-	if heir == nil || !h.sees(heir) {
+	heirs := zyclaim.HeirsOf(h.id, h.Keepers(h.place.Domain))
+	if len(heirs) == 0 {
 		w.crash(h)
 		return
 	}
 	held, promises := h.memory.Grants.Export(time.Now())
-	heir.memory.Grants.Inherit(time.Now(), held, promises)
+	for _, id := range heirs {
+		w.find(id).memory.Grants.Inherit(time.Now(), held, promises)
+	}
 	w.mu.Lock()
 	h.dead = true
 	w.hosts = remove(w.hosts, h)
@@ -222,7 +224,7 @@
 
 // play runs random operations in a world and returns what was broken.
 func play(t *rapid.T, m mutation, steps, injected *int) string {
-	w := newWorld(rapid.Uint64().Draw(t, "world"), m)
+	w := newWorld(rapid.Uint64().Draw(t, "world"), m, usualTimeout)
 	announcing := w.timer.Every(time.Second, w.announceAll)
 	defer announcing.Cancel()
 	defer w.end()
@@ -284,7 +286,7 @@
 // playFrozen freezes the keeper of one key in a quiet world and returns what
 // was broken.
 func playFrozen(m mutation, number int) string {
-	w := newWorld(uint64(number), m)
+	w := newWorld(uint64(number), m, longTimeout)
 	announcing := w.timer.Every(time.Second, w.announceAll)
 	defer announcing.Cancel()
 	hosts := w.list()
@@ -295,7 +297,7 @@
 
 // playLossy sends lookups over wires that lose much, so that every hop retries.
 func playLossy(m mutation, number int) string {
-	w := newWorld(uint64(number), m)
+	w := newWorld(uint64(number), m, longTimeout)
 	announcing := w.timer.Every(time.Second, w.announceAll)
 	defer announcing.Cancel()
 	w.faults = faults{loseRequest: 0.4, loseReply: 0.4}
