--- a/io/zyload/load.go
+++ b/io/zyload/load.go
@@ -5,9 +5,11 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -51,6 +53,7 @@
 	shortestLatency = 1
 	longestLatency  = 60_000_000
 	digits          = 3
+	downTime        = 2 * time.Second
 )
 
 // Generator sends flows and keeps the results by class. It may be used by
@@ -64,6 +67,8 @@
 	mu      sync.Mutex
 	classes map[string]*tally
 	booked  map[string]string
+	// down holds entries that took no connections, and until when they rest.
+	down map[string]time.Time
 }
 
 // tally sums up the calls of one class.
@@ -104,7 +109,7 @@
 	return &Generator{
 		cfg: cfg, open: make(chan struct{}, cfg.MostOpen), start: time.Now(),
 		client:  &http.Client{Timeout: cfg.Timeout, Transport: &http.Transport{MaxIdleConnsPerHost: cfg.MostOpen}},
-		classes: make(map[string]*tally), booked: make(map[string]string),
+		classes: make(map[string]*tally), booked: make(map[string]string), down: make(map[string]time.Time),
 	}
 }
 
@@ -181,11 +186,7 @@
 }
 
 func (g *Generator) send(f Flow, id string) outcome {
-	req, err := g.request(f, id)
-	if err != nil {
-		return outcome{text: "unknown"}
-	}
-	resp, err := g.client.Do(req)
+	resp, err := g.exchange(f, id)
 	if err != nil {
 		return outcome{text: "unknown"}
 	}
@@ -206,6 +207,44 @@
 	return o
 }
 
+// exchange sends a call to an entry. One that takes no connections was sent
+// nothing, so another is tried, and it is left alone for a while.
+func (g *Generator) exchange(f Flow, id string) (*http.Response, error) {
+	for {
+		entry, last := g.pickEntry()
+		req, err := g.request(f, id, entry)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := g.client.Do(req)
+		var failure *net.OpError
+		if err == nil || last || !errors.As(err, &failure) || failure.Op != "dial" {
+			return resp, err //nolint:wrapcheck // It is counted, not shown.
+		}
+		g.mu.Lock()
+		g.down[entry] = time.Now().Add(downTime)
+		g.mu.Unlock()
+	}
+}
+
+// pickEntry returns a random entry that is not known to be down. It reports
+// true where none is known to be up.
+func (g *Generator) pickEntry() (string, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	up := make([]string, 0, len(g.cfg.Entries))
+	for _, entry := range g.cfg.Entries {
+		if now.After(g.down[entry]) {
+			up = append(up, entry)
+		}
+	}
+	if len(up) == 0 {
+		return g.cfg.Entries[rand.IntN(len(g.cfg.Entries))], true
+	}
+	return up[rand.IntN(len(up))], false
+}
+
 // reasonOf returns the type of a failure, "" for an answer of a worker.
 func reasonOf(raw []byte) string {
 	var failure zyweb.Failure
@@ -215,8 +254,7 @@
 	return failure.Error.Type.String()
 }
 
-func (g *Generator) request(f Flow, id string) (*http.Request, error) {
-	entry := g.cfg.Entries[rand.IntN(len(g.cfg.Entries))]
+func (g *Generator) request(f Flow, id, entry string) (*http.Request, error) {
 	target := "http://" + entry + "/call/" + f.Service + f.Path
 	var body []byte
 	if f.Method == http.MethodGet {
