zyclaim: a keeper that gives a slot up tells that it knew all its keys

Cause: a node that takes a slot over from a live keeper still counted every lost host as a possible memory of unknown keys. Change: the earlier keeper tells whom it missed itself; only those count.

--- a/core/zyclaim/keeper.go
+++ b/core/zyclaim/keeper.go
@@ -61,8 +61,11 @@
 }
 
 type slotState struct {
-	open  bool
-	epoch zinniayoke.Epoch
+	open bool
+	// complete is true from the slot's recovery until another keeper takes it
+	// over, also while it is closed here.
+	complete bool
+	epoch    zinniayoke.Epoch
 	// missing holds the nodes that may remember keys of the slot and were out of
 	// reach, and when each was lost.
 	missing map[zinniayoke.NodeID]time.Time
--- a/core/zyclaim/recovery.go
+++ b/core/zyclaim/recovery.go
@@ -16,6 +16,22 @@
 	// latest is the newest keeper of each slot that some node has obeyed, and
 	// settled whether it was the only one for as long as anybody remembers.
 	latest map[zinniayoke.Slot]Witness
+	// given holds the slots that their last keeper gave up itself.
+	given map[zinniayoke.Slot]Given
+}
+
+// Given is a slot that its keeper gives up with all that it knows.
+type Given struct {
+	Slot  zinniayoke.Slot  `codec:"s"`
+	Epoch zinniayoke.Epoch `codec:"e"`
+	// Missing holds the nodes that the keeper missed itself.
+	Missing []Lost `codec:"m"`
+}
+
+// Lost is a node that is out of reach, and for how long.
+type Lost struct {
+	Node zinniayoke.NodeID `codec:"n"`
+	Age  time.Duration     `codec:"a"`
 }
 
 // Closed returns those of the slots that are not open at this keeper.
@@ -45,6 +61,7 @@
 		Epoch:   zinniayoke.Epoch{Major: highest.Major + 1, Node: k.cfg.Node},
 		missing: make(map[zinniayoke.NodeID]time.Time),
 		latest:  make(map[zinniayoke.Slot]Witness),
+		given:   make(map[zinniayoke.Slot]Given),
 	}
 }
 
@@ -71,6 +88,35 @@
 	}
 }
 
+// Give adds what an earlier keeper gives up.
+func (r *Recovery) Give(list []Given) {
+	for _, g := range list {
+		if old, ok := r.given[g.Slot]; !ok || old.Epoch.Less(g.Epoch) {
+			r.given[g.Slot] = g
+		}
+	}
+}
+
+// missingOf returns the nodes that may remember keys of the slot and are out of
+// reach. Where the last keeper gave the slot up itself, it knew of all keys but
+// those of the nodes that it missed.
+func (r *Recovery) missingOf(now time.Time, slot zinniayoke.Slot) map[zinniayoke.NodeID]time.Time {
+	missing := make(map[zinniayoke.NodeID]time.Time)
+	given, ok := r.given[slot]
+	if ok && !given.Epoch.Less(r.latest[slot].Epoch) {
+		for _, l := range given.Missing {
+			missing[l.Node] = now.Add(-l.Age)
+		}
+		return missing
+	}
+	for node, lost := range r.missing {
+		if !r.excused(slot, node) {
+			missing[node] = lost
+		}
+	}
+	return missing
+}
+
 // excused reports whether a node that is missing cannot remember keys of the
 // slot: it kept the slot itself all the time, and a keeper never sends keys to
 // its own host.
@@ -96,15 +142,10 @@
 		}
 		k.keys -= lenOf(old)
 		s := &slotState{
-			open: true, epoch: r.Epoch,
-			missing: make(map[zinniayoke.NodeID]time.Time, len(r.missing)),
+			open: true, complete: true, epoch: r.Epoch,
+			missing: r.missingOf(now, slot),
 			keys:    keepOld(old),
 		}
-		for node, lost := range r.missing {
-			if !r.excused(slot, node) {
-				s.missing[node] = lost
-			}
-		}
 		k.slots[slot] = s
 		k.keys += len(s.keys)
 	}
@@ -194,18 +235,22 @@
 	}
 }
 
-// Surrender closes slots that a newer keeper has taken over and returns what
-// this keeper knows of them.
-func (k *Keeper) Surrender(now time.Time, slots []zinniayoke.Slot, epoch zinniayoke.Epoch) []Held {
+// Surrender closes slots that a newer keeper has taken over. It returns what this
+// keeper knows of them, and those that nobody has taken over before.
+func (k *Keeper) Surrender(now time.Time, slots []zinniayoke.Slot, epoch zinniayoke.Epoch) ([]Held, []Given) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var list []Held
+	var given []Given
 	for _, slot := range slots {
 		s, ok := k.slots[slot]
 		if !ok || !s.epoch.Less(epoch) {
 			continue
 		}
-		s.open = false
+		if s.complete {
+			given = append(given, s.give(now, slot))
+		}
+		s.open, s.complete = false, false
 		for key, e := range s.keys {
 			if !e.running && e.fate == zinniayoke.FateNeverSeen {
 				continue
@@ -213,7 +258,15 @@
 			list = append(list, e.export(now, slot, key))
 		}
 	}
-	return list
+	return list, given
+}
+
+func (s *slotState) give(now time.Time, slot zinniayoke.Slot) Given {
+	g := Given{Slot: slot, Epoch: s.epoch}
+	for node, lost := range s.missing {
+		g.Missing = append(g.Missing, Lost{Node: node, Age: now.Sub(lost)})
+	}
+	return g
 }
 
 func (e *keyState) export(now time.Time, slot zinniayoke.Slot, key zinniayoke.Key) Held {
--- a/core/zyhome/home.go
+++ b/core/zyhome/home.go
@@ -25,6 +25,8 @@
 	Held     []zyclaim.Held   `codec:"h"`
 	// Witnesses tell whom the node has obeyed so far.
 	Witnesses []zyclaim.Witness `codec:"w"`
+	// Given holds the slots that the node kept itself until now.
+	Given []zyclaim.Given `codec:"g"`
 }
 
 // Elders asks other nodes about keys.
@@ -406,6 +408,7 @@
 			}
 		default:
 			r.Told(a.recall.Held, a.recall.Witnesses)
+			r.Give(a.recall.Given)
 		}
 	}
 	return highest, refused
@@ -457,7 +460,8 @@
 		}
 		return recall
 	}
-	return &Recall{Held: append(held, a.Keeper.Surrender(now, slots, epoch)...), Witnesses: witnesses}
+	kept, given := a.Keeper.Surrender(now, slots, epoch)
+	return &Recall{Held: append(held, kept...), Witnesses: witnesses, Given: given}
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
