zyclaim: keep what a recovery's first try was told, and excuse one lost node only

Change: a try takes over what the one before was told; excuses count only where a single node is missing.

--- a/core/zyclaim/recovery.go
+++ b/core/zyclaim/recovery.go
@@ -1,6 +1,7 @@
 package zyclaim
 
 import (
+	"maps"
 	"time"
 
 	"zinniayoke"
@@ -69,6 +70,9 @@
 func (r *Recovery) Told(list []Held, witnesses []Witness) {
 	r.held = append(r.held, list...)
 	for _, w := range witnesses {
+		if w.Epoch.Node == r.Epoch.Node {
+			continue // This is an earlier try of the same keeper.
+		}
 		old, known := r.latest[w.Slot]
 		switch {
 		case !known:
@@ -88,6 +92,20 @@
 	}
 }
 
+// Continue takes over what an earlier try of the same keeper was told, since the
+// nodes that obeyed it do not tell again whom they obeyed before.
+func (r *Recovery) Continue(earlier *Recovery) {
+	if earlier == nil {
+		return
+	}
+	for slot, w := range earlier.latest {
+		r.latest[slot] = w
+	}
+	for slot, g := range earlier.given {
+		r.given[slot] = g
+	}
+}
+
 // Give adds what an earlier keeper gives up.
 func (r *Recovery) Give(list []Given) {
 	for _, g := range list {
@@ -99,9 +117,14 @@
 
 // missingOf returns the nodes that may remember keys of the slot and are out of
 // reach. Where the last keeper gave the slot up itself, it knew of all keys but
-// those of the nodes that it missed.
+// those of the nodes that it missed. Neither that nor an excuse counts where two
+// nodes are missing, since one of them may be a keeper that only the other one
+// has obeyed.
 func (r *Recovery) missingOf(now time.Time, slot zinniayoke.Slot) map[zinniayoke.NodeID]time.Time {
 	missing := make(map[zinniayoke.NodeID]time.Time)
+	if len(r.missing) > 1 {
+		return maps.Clone(r.missing)
+	}
 	given, ok := r.given[slot]
 	if ok && !given.Epoch.Less(r.latest[slot].Epoch) {
 		for _, l := range given.Missing {
--- a/core/zyclaim/recovery_test.go
+++ b/core/zyclaim/recovery_test.go
@@ -67,6 +67,54 @@
 	}
 }
 
+// TestTwoLostNodesAreNotExcused shows that an excuse does not count where another
+// node is lost, which may have obeyed a keeper that nobody else knows.
+func TestTwoLostNodesAreNotExcused(t *testing.T) {
+	k := zyclaim.NewKeeper(zyclaim.KeeperConfig{Node: "n/1", Most: 10, Window: window})
+	r := k.StartRecovery([]zinniayoke.Slot{slot}, epoch(8, "x"))
+	held, witnesses, err := obeys(epoch(1, "m/1"), time.Duration(0)).Promise(start, r.Slots, r.Epoch)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Told(held, witnesses)
+	r.Give([]zyclaim.Given{{Slot: slot, Epoch: epoch(1, "m/1")}})
+	r.Missing("m/1", start)
+	r.Missing("z/1", start)
+	k.FinishRecovery(start, r)
+	if got := k.Claim(start, slot, "key", 1, 3).Step; got != zyclaim.StepUncertain {
+		t.Errorf("step %d with two lost nodes, want %d", got, zyclaim.StepUncertain)
+	}
+}
+
+// TestSecondTryKeepsWhatTheFirstWasTold lets one node obey the first try of a
+// recovery that another one refuses.
+func TestSecondTryKeepsWhatTheFirstWasTold(t *testing.T) {
+	lost := epoch(1, "m/1")
+	obeying, refusing := obeys(lost, time.Duration(0)), obeys(lost, time.Duration(0))
+	k := zyclaim.NewKeeper(zyclaim.KeeperConfig{Node: "n/1", Most: 10, Window: window})
+	slots := []zinniayoke.Slot{slot}
+	first := k.StartRecovery(slots, zinniayoke.Epoch{})
+	held, witnesses, err := obeying.Promise(start.Add(time.Second), slots, first.Epoch)
+	if err != nil {
+		t.Fatal(err)
+	}
+	first.Told(held, witnesses)
+	second := k.StartRecovery(slots, lost)
+	second.Continue(first)
+	for _, g := range []*zyclaim.Grants{obeying, refusing} {
+		held, witnesses, err := g.Promise(start.Add(2*time.Second), slots, second.Epoch)
+		if err != nil {
+			t.Fatal(err)
+		}
+		second.Told(held, witnesses)
+	}
+	second.Missing("m/1", start)
+	k.FinishRecovery(start.Add(2*time.Second), second)
+	if got := k.Claim(start.Add(2*time.Second), slot, "key", 1, 3).Step; got != zyclaim.StepRun {
+		t.Errorf("step %d after the loss of the first keeper, want %d", got, zyclaim.StepRun)
+	}
+}
+
 func TestHeirsAreTwo(t *testing.T) {
 	members := []zinniayoke.NodeID{"a/1", "b/1", "c/1", "d/1"}
 	for _, c := range []struct {
--- a/core/zyhome/home.go
+++ b/core/zyhome/home.go
@@ -311,8 +311,11 @@
 		return nil
 	}
 	highest := zinniayoke.Epoch{}
+	var earlier *zyclaim.Recovery
 	for range recallTries {
 		r := h.cfg.Keeper.StartRecovery(slots, highest)
+		r.Continue(earlier)
+		earlier = r
 		promised, refused := h.collect(ctx, r)
 		if !refused {
 			h.cfg.Keeper.FinishRecovery(time.Now(), r)
