--- /dev/null
+++ b/core/zyhome/takeover.go
@@ -0,0 +1,175 @@
+package zyhome
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"zinniayoke"
+	"zinniayoke/core/zyclaim"
+)
+
+func (h *Home) recoverFor(ctx context.Context, c *zinniayoke.Call) (*zinniayoke.Reply, bool) {
+	if err := h.Recover(ctx); err != nil {
+		return free(c, uncertain(c, zinniayoke.ReasonKeyUncertain, err.Error())), false
+	}
+	return nil, true
+}
+
+// RecoveryError says why slots could not be taken over.
+type RecoveryError struct {
+	Problem string
+	Err     error
+}
+
+// Error returns the problem and its cause.
+func (e *RecoveryError) Error() string {
+	if e.Err != nil {
+		return "taking over keys: " + e.Problem + ": " + e.Err.Error()
+	}
+	return "taking over keys: " + e.Problem
+}
+
+// Unwrap returns the cause, which may be nil.
+func (e *RecoveryError) Unwrap() error {
+	return e.Err
+}
+
+// Recover takes over all slots that belong to this node and are not open here.
+// The error is a *RecoveryError.
+func (h *Home) Recover(ctx context.Context) error {
+	select {
+	case <-h.turn:
+	case <-ctx.Done():
+		return &RecoveryError{Problem: "out of time", Err: ctx.Err()}
+	}
+	defer func() { h.turn <- struct{}{} }()
+	slots := h.cfg.Keeper.Closed(h.owned())
+	if len(slots) == 0 {
+		return nil
+	}
+	highest := zinniayoke.Epoch{}
+	var earlier *zyclaim.Recovery
+	for range recallTries {
+		r := h.cfg.Keeper.StartRecovery(slots, highest)
+		r.Continue(earlier)
+		earlier = r
+		promised, refused := h.collect(ctx, r)
+		if !refused {
+			h.cfg.Keeper.FinishRecovery(time.Now(), r)
+			return nil
+		}
+		highest = promised
+		if !sleep(ctx, recallPause) {
+			return &RecoveryError{Problem: "out of time", Err: ctx.Err()}
+		}
+	}
+	return &RecoveryError{Problem: "other keepers took the slots at the same time"}
+}
+
+func (h *Home) owned() []zinniayoke.Slot {
+	keepers := h.cfg.Roll.Keepers(h.cfg.Domain)
+	var slots []zinniayoke.Slot
+	for n := range zyclaim.Slots {
+		slot := zinniayoke.Slot{Domain: h.cfg.Domain, Number: n}
+		if zyclaim.KeeperOf(slot, keepers) == h.cfg.Node {
+			slots = append(slots, slot)
+		}
+	}
+	return slots
+}
+
+// Upkeep is to be called each second. After a pause it gives up all slots, so
+// that they are recovered before the next claim.
+func (h *Home) Upkeep(now time.Time) {
+	h.mu.Lock()
+	paused := now.Sub(h.beat) > longestPause
+	h.beat = now
+	h.mu.Unlock()
+	if paused {
+		h.cfg.Keeper.Retain(func(zinniayoke.Slot) bool { return false })
+	}
+	h.Retain()
+}
+
+// Retain gives up the slots that belong to another node now, and those whose
+// recovery missed a node that is there again.
+func (h *Home) Retain() {
+	keepers := h.cfg.Roll.Keepers(h.cfg.Domain)
+	h.cfg.Keeper.Retain(func(s zinniayoke.Slot) bool { return zyclaim.KeeperOf(s, keepers) == h.cfg.Node })
+	there, _ := h.cfg.Roll.Memories()
+	h.cfg.Keeper.Revisit(there)
+}
+
+// collect asks all nodes that may remember keys for their promise.
+func (h *Home) collect(ctx context.Context, r *zyclaim.Recovery) (highest zinniayoke.Epoch, refused bool) {
+	there, lost := h.cfg.Roll.Memories()
+	for node, at := range lost {
+		r.Missing(node, at)
+	}
+	type answer struct {
+		node   zinniayoke.NodeID
+		recall *Recall
+		err    error
+	}
+	answers := make(chan answer, len(there))
+	places := make(chan struct{}, mostAsked)
+	for _, node := range there {
+		go func() {
+			places <- struct{}{}
+			defer func() { <-places }()
+			recall, err := h.recall(ctx, node, r)
+			answers <- answer{node: node, recall: recall, err: err}
+		}()
+	}
+	for range there {
+		a := <-answers
+		switch {
+		case a.err != nil:
+			r.Missing(a.node, time.Now())
+		case a.recall.Refused:
+			refused = true
+			if highest.Less(a.recall.Promised) {
+				highest = a.recall.Promised
+			}
+		default:
+			r.Told(a.recall.Held, a.recall.Witnesses)
+			r.Give(a.recall.Given)
+		}
+	}
+	return highest, refused
+}
+
+func (h *Home) recall(ctx context.Context, node zinniayoke.NodeID, r *zyclaim.Recovery) (*Recall, error) {
+	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
+	defer cancel()
+	recall, err := h.cfg.Elders.Recall(ctx, node, r.Slots, r.Epoch)
+	if err != nil {
+		return nil, &RecoveryError{Problem: "node " + string(node), Err: err}
+	}
+	return recall, nil
+}
+
+// Answerer is the other side of Elders.Recall: what this node remembers as the
+// node of a worker and as an earlier keeper.
+type Answerer struct {
+	Grants *zyclaim.Grants
+	Keeper *zyclaim.Keeper
+}
+
+// Recall promises the epoch and returns what is remembered of the slots.
+func (a Answerer) Recall(slots []zinniayoke.Slot, epoch zinniayoke.Epoch) *Recall {
+	now := time.Now()
+	held, witnesses, err := a.Grants.Promise(now, slots, epoch)
+	if refusal := (*zinniayoke.CallError)(nil); errors.As(err, &refusal) {
+		recall := &Recall{Refused: true}
+		for _, slot := range slots {
+			if promised := a.Grants.Promised(slot); recall.Promised.Less(promised) {
+				recall.Promised = promised
+			}
+		}
+		return recall
+	}
+	kept, given := a.Keeper.Surrender(now, slots, epoch)
+	return &Recall{Held: append(held, kept...), Witnesses: witnesses, Given: given}
+}
--- /dev/null
+++ b/core/zymember/bucket.go
@@ -0,0 +1,61 @@
+package zymember
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"zinniayoke"
+)
+
+// Bucket sums up a part of the members, so that two nodes find out in a few
+// bytes where their lists differ.
+type Bucket uint64
+
+// Buckets returns the sums of all parts of the list.
+func (t *Table) Buckets() []Bucket {
+	sums := make([]Bucket, buckets)
+	for id, m := range t.members {
+		sums[bucketOf(id)] ^= Bucket(sumOf(m))
+	}
+	return sums
+}
+
+func bucketOf(id zinniayoke.NodeID) int {
+	return int(xxhash.Sum64String(string(id)) % buckets)
+}
+
+func sumOf(m *Member) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(string(m.Upstream.Node))
+	_, _ = d.Write([]byte{byte(m.Status)})
+	var raw [8]byte
+	for i := range raw {
+		raw[i] = byte(m.Counter >> (8 * i))
+	}
+	_, _ = d.Write(raw[:])
+	return d.Sum64()
+}
+
+// Differing returns the members of the parts whose sums differ from theirs.
+func (t *Table) Differing(theirs []Bucket) []Change {
+	mine := t.Buckets()
+	var list []Change
+	for id, m := range t.members {
+		i := bucketOf(id)
+		if i >= len(theirs) || theirs[i] != mine[i] {
+			list = append(list, m.change())
+		}
+	}
+	slices.SortFunc(list, func(a, b Change) int { return cmp.Compare(a.Upstream.Node, b.Upstream.Node) })
+	return list
+}
+
+// Merge takes in what another node's list holds.
+func (t *Table) Merge(now time.Time, list []Change) {
+	for _, c := range list {
+		t.merge(now, c)
+	}
+}
--- /dev/null
+++ b/core/zymember/probe.go
@@ -0,0 +1,259 @@
+package zymember
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"zinniayoke"
+)
+
+type probe struct {
+	target   zinniayoke.NodeID
+	sequence uint64
+	started  time.Time
+	indirect bool
+}
+
+type relay struct {
+	to       string
+	sequence uint64
+	at       time.Time
+}
+
+// Tick runs the protocol. It is to be called at least four times a period.
+func (t *Table) Tick(now time.Time) []Addressed {
+	var out []Addressed
+	t.expire(now)
+	if t.probe != nil {
+		out = t.watch(now, out)
+	}
+	if t.probe == nil {
+		out = t.startProbe(now, out)
+	}
+	out = t.warnSuspects(out)
+	if t.hasFreshNews() {
+		out = append(out, t.Burst()...)
+	}
+	return out
+}
+
+// warnSuspects pings the members that this node suspected itself, so that one
+// that is alive learns of it at once and objects.
+func (t *Table) warnSuspects(out []Addressed) []Addressed {
+	for id := range t.accused {
+		m, ok := t.members[id]
+		if !ok || m.Status != zinniayoke.MemberSuspect {
+			delete(t.accused, id)
+			continue
+		}
+		t.sequence++
+		out = append(out, t.ping(id, t.sequence))
+	}
+	return out
+}
+
+// watch follows the probe under way: after a third of the period without an
+// answer others are asked to probe, at its end the member is suspected.
+func (t *Table) watch(now time.Time, out []Addressed) []Addressed {
+	age := now.Sub(t.probe.started)
+	if age >= t.cfg.Period {
+		t.endProbe(now)
+		return out
+	}
+	m, ok := t.members[t.probe.target]
+	if !ok || t.probe.indirect || t.probe.sequence == 0 || age < t.cfg.Period/ackShare {
+		return out
+	}
+	t.probe.indirect = true
+	for _, helper := range t.pickHelpers(t.probe.target) {
+		p := t.packet(PingRequest, t.probe.sequence)
+		p.Target = t.probe.target
+		p.TargetAddress = m.Upstream.Peer
+		out = append(out, Addressed{To: helper, Packet: p})
+	}
+	return out
+}
+
+func (t *Table) endProbe(now time.Time) {
+	target, answered := t.probe.target, t.probe.sequence == 0
+	t.probe = nil
+	m, ok := t.members[target]
+	if answered || !ok || m.Status != zinniayoke.MemberAlive {
+		return
+	}
+	t.accused[target] = true
+	t.merge(now, Change{Upstream: m.Upstream, Status: zinniayoke.MemberSuspect, Counter: m.Counter})
+}
+
+func (t *Table) startProbe(now time.Time, out []Addressed) []Addressed {
+	target, ok := t.nextTarget()
+	if !ok {
+		return out
+	}
+	t.sequence++
+	t.probe = &probe{target: target, sequence: t.sequence, started: now}
+	return append(out, t.ping(target, t.sequence))
+}
+
+// ping returns a packet for a member. A member that this node does not believe
+// alive is told so, so that it can object.
+func (t *Table) ping(target zinniayoke.NodeID, sequence uint64) Addressed {
+	m := t.members[target]
+	p := t.packet(Ping, sequence)
+	p.Target = target
+	if m.Status != zinniayoke.MemberAlive {
+		p.Changes = append([]Change{m.change()}, p.Changes...)
+	}
+	return Addressed{To: m.Upstream.Peer, Packet: p}
+}
+
+// nextTarget goes round all members in random order; now and then it takes a
+// dead one, so that a partition that heals is noticed.
+func (t *Table) nextTarget() (zinniayoke.NodeID, bool) {
+	t.ticks++
+	if t.ticks%deadProbeEvery == 0 {
+		if id, ok := t.randomDead(); ok {
+			return id, true
+		}
+	}
+	for range len(t.order) + 1 {
+		if t.turn >= len(t.order) {
+			t.shuffle()
+		}
+		if len(t.order) == 0 {
+			return "", false
+		}
+		id := t.order[t.turn]
+		t.turn++
+		if m, ok := t.members[id]; ok && here(m) {
+			return id, true
+		}
+	}
+	return "", false
+}
+
+func (t *Table) shuffle() {
+	t.turn = 0
+	t.order = t.order[:0]
+	for id, m := range t.members {
+		if id != t.cfg.Self.Node && here(m) {
+			t.order = append(t.order, id)
+		}
+	}
+	slices.Sort(t.order)
+	t.cfg.Random.Shuffle(len(t.order), func(i, j int) { t.order[i], t.order[j] = t.order[j], t.order[i] })
+}
+
+func (t *Table) randomDead() (zinniayoke.NodeID, bool) {
+	var dead []zinniayoke.NodeID
+	for id, m := range t.members {
+		if m.Status == zinniayoke.MemberDead && t.latest[HostOf(id)] == id {
+			dead = append(dead, id)
+		}
+	}
+	if len(dead) == 0 {
+		return "", false
+	}
+	slices.Sort(dead)
+	return dead[t.cfg.Random.IntN(len(dead))], true
+}
+
+func (t *Table) pickHelpers(target zinniayoke.NodeID) []string {
+	var addresses []string
+	for id, m := range t.members {
+		if id != target && id != t.cfg.Self.Node && m.Status == zinniayoke.MemberAlive {
+			addresses = append(addresses, m.Upstream.Peer)
+		}
+	}
+	slices.Sort(addresses)
+	t.cfg.Random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(indirectProbes, len(addresses))]
+}
+
+// Receive takes in a packet and returns the packets that answer it.
+func (t *Table) Receive(now time.Time, p *Packet) []Addressed {
+	for _, c := range p.Changes {
+		t.merge(now, c)
+	}
+	switch p.Kind {
+	case Ping:
+		return t.answer(p)
+	case PingRequest:
+		return t.relayPing(now, p)
+	case Ack:
+		return t.acknowledge(p)
+	}
+	return nil
+}
+
+func (t *Table) answer(p *Packet) []Addressed {
+	if p.Sequence == 0 {
+		return nil // It only carries news.
+	}
+	if p.Target != "" && p.Target != t.cfg.Self.Node {
+		// The packet is for an earlier run of this host's node, which is gone.
+		t.tell(t.self)
+		return nil
+	}
+	ack := t.packet(Ack, p.Sequence)
+	if m, ok := t.members[p.From]; ok && m.Status != zinniayoke.MemberAlive {
+		// The sender has to know what is believed of it, so that it can object.
+		ack.Changes = append([]Change{m.change()}, ack.Changes...)
+	}
+	return []Addressed{{To: p.FromAddress, Packet: ack}}
+}
+
+func (t *Table) relayPing(now time.Time, p *Packet) []Addressed {
+	t.sequence++
+	t.relays[t.sequence] = relay{to: p.FromAddress, sequence: p.Sequence, at: now}
+	ping := t.packet(Ping, t.sequence)
+	ping.Target = p.Target
+	return []Addressed{{To: p.TargetAddress, Packet: ping}}
+}
+
+func (t *Table) acknowledge(p *Packet) []Addressed {
+	if t.probe != nil && t.probe.sequence == p.Sequence && p.Sequence != 0 {
+		t.probe.sequence = 0
+		return nil
+	}
+	r, ok := t.relays[p.Sequence]
+	if !ok {
+		return nil
+	}
+	delete(t.relays, p.Sequence)
+	return []Addressed{{To: r.to, Packet: t.packet(Ack, r.sequence)}}
+}
+
+// expire turns suspects into dead ones and forgets what is long gone.
+func (t *Table) expire(now time.Time) {
+	limit := t.suspicion()
+	var late []zinniayoke.NodeID
+	for id, m := range t.members {
+		age := now.Sub(m.Since)
+		switch {
+		case m.Status == zinniayoke.MemberSuspect && age >= limit:
+			late = append(late, id)
+		case !here(m) && age > t.cfg.Remember && id != t.cfg.Self.Node:
+			delete(t.members, id)
+			t.revision++
+		}
+	}
+	slices.Sort(late)
+	for _, id := range late {
+		dead := t.members[id].change()
+		dead.Status = zinniayoke.MemberDead
+		t.merge(now, dead)
+	}
+	for sequence, r := range t.relays {
+		if now.Sub(r.at) > t.cfg.Period {
+			delete(t.relays, sequence)
+		}
+	}
+}
+
+// suspicion is how long a suspect has to object.
+func (t *Table) suspicion() time.Duration {
+	scale := math.Max(1, math.Log10(float64(len(t.members)))/2)
+	return time.Duration(suspicionPeriods * scale * float64(t.cfg.Period))
+}
