--- a/core/zybundle/parse.go
+++ b/core/zybundle/parse.go
@@ -117,8 +117,8 @@
 
 func (b *Bundle) readCaller(s *zyini.Section) {
 	c := Caller{Name: zinniayoke.Caller(s.Name)}
-	if s.Has("tokenHash") {
-		c.TokenHash = hex.EncodeToString(zyini.Get(s, "tokenHash", zyini.Hex(sha256.Size), nil))
+	if sum := zyini.Get(s, "tokenHash", zyini.Hex(sha256.Size), nil); sum != nil {
+		c.TokenHash = hex.EncodeToString(sum)
 		if other, ok := b.tokens[c.TokenHash]; ok {
 			s.Reject("tokenHash", "the token of "+string(other), "a token of its own for each caller")
 		}
@@ -128,8 +128,6 @@
 	c.Home = zyini.Need(s, "home", zyini.Name[zinniayoke.Domain]())
 	c.MovedFrom = zyini.Get(s, "movedFrom", zyini.Name[zinniayoke.Domain](), "")
 	c.Rate = zyini.Get(s, "rate", zyini.CallRate(), 0)
-	// Reading the key marks it as known, also where the section lacks it.
-	_ = zyini.Get(s, "tokenHash", zyini.Hex(sha256.Size), nil)
 	b.Callers[c.Name] = c
 }
 
@@ -152,7 +150,7 @@
 	r.NeverRepeat = zyini.Get(s, "neverRepeat", zyini.Switch(), false)
 	r.Timeout = zyini.Get(s, "timeout", zyini.Duration(time.Millisecond, longestTimeout), usualTimeout)
 	r.MaxBody = zyini.Get(s, "maxBody", zyini.Size(0, largestBody), usualBody)
-	if r.Attempts < 1+r.Calls {
+	if r.Attempts > 0 && r.Attempts < 1+r.Calls {
 		s.Reject("attempts", fmt.Sprintf("%d with %d calls", r.Attempts, r.Calls), "at least one more than calls")
 	}
 	b.Routes[r.Name] = r
--- a/core/zyini/file.go
+++ b/core/zyini/file.go
@@ -173,7 +173,9 @@
 	if len(f.problems) == 0 {
 		return nil
 	}
-	return &ProblemsError{Problems: append([]Problem(nil), f.problems...)}
+	problems := slices.Clone(f.problems)
+	slices.SortStableFunc(problems, func(a, b Problem) int { return a.Line - b.Line })
+	return &ProblemsError{Problems: problems}
 }
 
 // RejectSection adds a problem that concerns the section's header.
