--- a/cmd/zinniayoke/node.go
+++ b/cmd/zinniayoke/node.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"os"
+	"runtime/debug"
 
 	"github.com/urfave/cli/v3"
 
 	"zinniayoke/core/zysettings"
 	"zinniayoke/io/zynode"
+	"zinniayoke/platform"
 )
 
 func nodeCommand() *cli.Command {
@@ -23,12 +25,25 @@
 	}
 }
 
+const (
+	percent = 100
+	// heapShare leaves room for sockets' buffers, which count as the process's memory too.
+	heapShare = 60
+)
+
 func runNode(ctx context.Context, c *cli.Command) error {
 	settings, err := readSettings(c.String("settings"))
 	if err != nil || c.Bool("check") {
 		return err
 	}
-	app := zynode.App(zynode.Config{Settings: settings, Output: os.Stderr})
+	cfg := zynode.Config{Settings: settings, Output: os.Stdout}
+	if settings.Store != "" {
+		cfg.Edges = platform.NewEdges(settings)
+	}
+	if settings.Memory > 0 {
+		debug.SetMemoryLimit(int64(settings.Memory) * heapShare / percent)
+	}
+	app := zynode.App(cfg)
 	startCtx, cancel := context.WithTimeout(context.Background(), app.StartTimeout())
 	defer cancel()
 	if err := app.Start(startCtx); err != nil {
--- a/core/zybundle/bundle.go
+++ b/core/zybundle/bundle.go
@@ -53,6 +53,20 @@
 
 	tokens map[string]zinniayoke.Caller
 	muxes  map[zinniayoke.Service]*http.ServeMux
+	// hosts holds the routes that are found by host and prefix.
+	hosts map[string]*prefixes
+	// Limits bound what callers may send.
+	Limits Limits
+}
+
+// Limits bound what a caller may send and how long a connection may be idle.
+// A zero field sets no bound.
+type Limits struct {
+	Header zinniayoke.Bytes
+	Body   zinniayoke.Bytes
+	// HeaderTimeout is how long a caller may take to send the header.
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
 }
 
 // Class is a class of importance; a higher importance is served first.
@@ -80,6 +94,10 @@
 	Name zinniayoke.Service
 	// TrustShed says that a 503 of its workers means that the call did not run.
 	TrustShed bool
+	// HealthPath is where a worker answers whether it is well, "" where it has none.
+	HealthPath string
+	// Connections is how many connections a worker takes, 0 where it announces that.
+	Connections int
 }
 
 // Route states how calls of one method and path pattern are treated.
@@ -98,6 +116,20 @@
 	NeverRepeat bool
 	Timeout     time.Duration
 	MaxBody     zinniayoke.Bytes
+	// Host and Prefix select the route for callers that name no service.
+	Host   string
+	Prefix string
+	// Split names the services that share the calls; empty where Service has all.
+	Split []Part
+	// Objective is the time within which an answer has its full worth, 0 where
+	// the operators state none.
+	Objective time.Duration
+}
+
+// Part is one service's share of a split route.
+type Part struct {
+	Service zinniayoke.Service
+	Weight  float64
 }
 
 // RegionPair is two regions in the order of their names.
--- a/core/zybundle/parse.go
+++ b/core/zybundle/parse.go
@@ -68,6 +68,7 @@
 		Released:  make(map[string]bool),
 		tokens:    make(map[string]zinniayoke.Caller),
 		muxes:     make(map[zinniayoke.Service]*http.ServeMux),
+		hosts:     make(map[string]*prefixes),
 	}
 }
 
--- a/core/zyegress/sender.go
+++ b/core/zyegress/sender.go
@@ -32,6 +32,10 @@
 	Place zinniayoke.Place
 	// Links bounds what goes to other regions; nil means no bound.
 	Links *zypick.LinkBudget
+	// Repeats bounds the sends to a service beyond the first of each call. Where it
+	// is set, it takes the place of Budgets, and attempts count only those sends
+	// that a worker was handed.
+	Repeats *zyattempt.Repeats
 	// NewID returns a fresh attempt id; nil means random ones.
 	NewID func() zinniayoke.AttemptID
 }
@@ -40,6 +44,9 @@
 	askTimeout  = 1 * time.Second
 	askPause    = 100 * time.Millisecond
 	asksOffline = 3
+	// mostRefusals is how many nodes are asked before a call is refused. Each costs
+	// a round trip, and where four have no room, the service is full.
+	mostRefusals = 4
 	// messageOverhead is the size of a message without its body.
 	messageOverhead zinniayoke.Bytes = 512
 )
@@ -79,6 +86,8 @@
 	last *zinniayoke.Reply
 	// handed is true once an attempt may have reached a worker.
 	handed bool
+	// refused counts the sends that no worker was handed.
+	refused int
 	// suspected is true for a request that has one upstream to run at.
 	suspected bool
 }
@@ -102,6 +111,9 @@
 	if reply.Outcome == zinniayoke.OutcomeUnknown {
 		f.handed = true
 	}
+	if !reply.Handed {
+		f.refused++
+	}
 	f.last = reply
 }
 
@@ -121,6 +133,9 @@
 	if reply.Outcome == zinniayoke.OutcomeUnknown && f.Route.NeverRepeat || f.suspected {
 		return false
 	}
+	if s.cfg.Repeats != nil {
+		return s.mayRepeat(f, reply)
+	}
 	switch reply.Reason {
 	case zinniayoke.ReasonDraining, zinniayoke.ReasonNotReady:
 		return s.roomElsewhere(f)
@@ -132,6 +147,22 @@
 	}
 }
 
+// mayRepeat decides where repeats are counted by what workers were handed. What
+// no worker was handed costs only a message, so that a few nodes are asked.
+func (s *Sender) mayRepeat(f *flight, reply *zinniayoke.Reply) bool {
+	switch reply.Reason {
+	case zinniayoke.ReasonDeadline, zinniayoke.ReasonCancelled, zinniayoke.ReasonQuarantined, zinniayoke.ReasonLinkBudget:
+		return false
+	}
+	if !s.roomElsewhere(f) {
+		return false
+	}
+	if !reply.Handed && reply.Outcome == zinniayoke.OutcomeNotRun {
+		return f.refused < mostRefusals
+	}
+	return s.cfg.Repeats.Spend(time.Now(), f.Call.Service)
+}
+
 // roomElsewhere reports whether there is an upstream that was not tried.
 func (s *Sender) roomElsewhere(f *flight) bool {
 	_, ok := s.cfg.Picker.Pick(time.Now(), f.Call.Service, f.Call.Rank, f.excluded)
@@ -161,8 +192,14 @@
 		return refused(f.Call, zinniayoke.Refuse(zinniayoke.ReasonStaleEpoch, "the key is kept elsewhere now"))
 	}
 	f.excluded = append(f.excluded, to.Node)
+	if s.cfg.Repeats != nil && len(f.excluded) == len(f.Avoid)+1 {
+		s.cfg.Repeats.First(time.Now(), f.Call.Service)
+	}
 	reply := s.exchange(ctx, to, a)
 	f.Pool.Refund(min(reply.Unused, share))
+	if s.cfg.Repeats != nil && !reply.Handed && reply.Outcome == zinniayoke.OutcomeNotRun {
+		f.Pool.Refund(1)
+	}
 	if reply.Outcome == zinniayoke.OutcomeDone {
 		s.cfg.Budgets.Earn(f.budget(), f.Route.RetryBudget)
 	}
@@ -212,7 +249,7 @@
 	c := f.Call
 	return &zinniayoke.Attempt{
 		ID: s.cfg.NewID(), Request: c.Request, Caller: c.Caller, Service: c.Service, Route: c.Route,
-		Method: c.Method, Path: c.Path, Query: c.Query, Headers: c.Headers, Body: c.Body,
+		Method: c.Method, Host: c.Host, Path: c.Path, Query: c.Query, Headers: c.Headers, Body: c.Body,
 		BodyHash: c.BodyHash, Key: c.Key, Grant: f.Grant, Rank: c.Rank, Left: time.Until(c.Deadline),
 		Tokens: share, Depth: c.Depth, Version: c.Version,
 	}
--- a/core/zyentry/entry.go
+++ b/core/zyentry/entry.go
@@ -15,6 +15,7 @@
 	"zinniayoke/core/zyegress"
 	"zinniayoke/core/zyparent"
 	"zinniayoke/core/zyrank"
+	"zinniayoke/core/zysplit"
 	"zinniayoke/core/zysuspect"
 )
 
@@ -28,6 +29,13 @@
 	// Timeout is what the caller allows, 0 for the route's own.
 	Timeout time.Duration
 	Service zinniayoke.Service
+	// Request is the id that the caller chose, "" for one of the entry's own.
+	Request zinniayoke.RequestID
+	// Host selects the route together with the path where Service is empty.
+	Host string
+	// Target is sent on in place of the path and query of HTTP where it is set, so
+	// that not a byte of them changes.
+	Target  string
 	HTTP    *http.Request
 	Headers []zinniayoke.Header
 	Body    []byte
@@ -59,6 +67,8 @@
 	Suspects *zysuspect.Book
 	Shares   *zyrank.Shares
 	Meter    zinniayoke.Meter
+	// Splits chooses the service of split routes; nil where no route is split.
+	Splits *zysplit.Chooser
 	// NewID returns a fresh request id; nil means random ones.
 	NewID func() zinniayoke.RequestID
 }
--- a/core/zyentry/filter.go
+++ b/core/zyentry/filter.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -12,6 +13,7 @@
 
 	"zinniayoke"
 	"zinniayoke/core/zyattempt"
+	"zinniayoke/core/zybundle"
 	"zinniayoke/core/zyrank"
 	"zinniayoke/core/zysuspect"
 )
@@ -30,7 +32,10 @@
 // identify finds the caller: for a child call the one of its parent.
 func (e *Entry) identify(next step) step {
 	return func(ctx context.Context, j *job) (*zinniayoke.Reply, error) {
-		j.call.Request = e.cfg.NewID()
+		j.call.Request = j.in.Request
+		if j.call.Request == "" {
+			j.call.Request = e.cfg.NewID()
+		}
 		if j.rules == nil {
 			return nil, zinniayoke.Refuse(zinniayoke.ReasonNotReady, "no bundle is in force here yet")
 		}
@@ -82,7 +87,7 @@
 // findRoute looks the route up and checks the size of the body.
 func (e *Entry) findRoute(next step) step {
 	return func(ctx context.Context, j *job) (*zinniayoke.Reply, error) {
-		route, err := j.rules.RouteOf(j.in.Service, j.in.HTTP)
+		route, err := e.routeOf(j)
 		if err != nil {
 			return nil, fmt.Errorf("route: %w", err)
 		}
@@ -95,12 +100,32 @@
 	}
 }
 
+// routeOf finds the route by the service that the caller names, or by host and
+// path, and sets the service of the call.
+func (e *Entry) routeOf(j *job) (*zybundle.Route, error) {
+	if j.in.Service != "" {
+		return j.rules.RouteOf(j.in.Service, j.in.HTTP)
+	}
+	path, _, _ := strings.Cut(j.in.Target, "?")
+	route, err := j.rules.Match(j.in.Host, path)
+	if err != nil {
+		return nil, err
+	}
+	j.call.Service = e.cfg.Splits.Choose(route)
+	return route, nil
+}
+
 func (e *Entry) fill(j *job) {
 	c := j.call
+	c.Host = j.in.Host
 	c.Route = j.route.Name
 	c.Method = j.in.HTTP.Method
-	c.Path = j.in.HTTP.URL.Path
-	c.Query = j.in.HTTP.URL.RawQuery
+	if j.in.Target != "" {
+		c.Path = j.in.Target
+	} else {
+		c.Path = j.in.HTTP.URL.Path
+		c.Query = j.in.HTTP.URL.RawQuery
+	}
 	c.Headers = j.in.Headers
 	c.Body = j.in.Body
 	c.BodyHash = uint64(zysuspect.PrintOf(c.Service, c.Method, c.Path, c.Query, c.Body))
--- a/core/zyingress/receiver.go
+++ b/core/zyingress/receiver.go
@@ -32,6 +32,10 @@
 	Meter    zinniayoke.Meter
 	// OnSuspects is called with the requests that were in flight at a crash.
 	OnSuspects func(cases []zysuspect.Case)
+	// Lapse is how long an announcement holds; 0 means 3 s.
+	Lapse time.Duration
+	// FixedLimit keeps the concurrency limit at the announced slots.
+	FixedLimit bool
 }
 
 const (
@@ -54,8 +58,10 @@
 	toldAt   time.Time
 	crashed  bool
 	draining bool
-	gate     *zyadmission.Gate
-	calls    map[zinniayoke.AttemptID]*run
+	// dismissed is true once the worker has said that it ends.
+	dismissed bool
+	gate      *zyadmission.Gate
+	calls     map[zinniayoke.AttemptID]*run
 	// alone is the suspected request that runs by itself, or nil.
 	alone *run
 	idle  chan struct{}
@@ -75,6 +81,9 @@
 
 // New returns a receiver that has no worker yet.
 func New(cfg Config) *Receiver {
+	if cfg.Lapse == 0 {
+		cfg.Lapse = announceLapse
+	}
 	r := &Receiver{cfg: cfg, calls: make(map[zinniayoke.AttemptID]*run)}
 	r.tick = cfg.Timer.Every(tickPeriod, r.onTick)
 	return r
@@ -158,7 +167,7 @@
 	switch {
 	case r.draining:
 		return zinniayoke.Refuse(zinniayoke.ReasonDraining, "the node is stopping")
-	case r.worker == nil || r.crashed || now.Sub(r.toldAt) > announceLapse:
+	case r.worker == nil || r.crashed || now.Sub(r.toldAt) > r.cfg.Lapse:
 		return zinniayoke.Refuse(zinniayoke.ReasonNoUpstream, "the worker is gone")
 	case r.told.Service != a.Service:
 		return zinniayoke.Refuse(zinniayoke.ReasonNoUpstream, "the worker serves "+string(r.told.Service))
@@ -268,10 +277,16 @@
 		Deadline: c.arrived.Add(a.Left), Pool: zyattempt.NewPool(a.Tokens, a.Tokens), Done: ctx.Done(),
 	}
 	handle := r.cfg.Parents.Open(parent)
-	answer, handed, err := worker.Run(ctx, &zinniayoke.WorkerCall{Attempt: a, Context: handle, Left: time.Until(parent.Deadline)})
+	answer, handed, err := worker.Run(ctx, &zinniayoke.WorkerCall{
+		Attempt: a, Instance: r.instance(), Context: handle, Left: time.Until(parent.Deadline),
+	})
 	r.cfg.Parents.Close(handle)
+	if errors.Is(err, zinniayoke.ErrMisdirected) {
+		r.misdirected()
+	}
 	c.started = c.started.Add(parent.Waited())
 	reply := r.reply(ctx, c, answer, handed, err)
+	reply.Handed = handed
 	reply.Unused = parent.Pool.Close()
 	reply.Threshold = max(reply.Threshold, parent.Threshold())
 	if keyed(a) {
@@ -280,6 +295,12 @@
 	return reply
 }
 
+func (r *Receiver) instance() zinniayoke.Instance {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.told.Instance
+}
+
 // keyed reports whether a keeper granted the attempt.
 func keyed(a *zinniayoke.Attempt) bool {
 	return a.Key != "" && a.Grant != zinniayoke.Grant{}
@@ -298,7 +319,11 @@
 		reply.Outcome = zinniayoke.OutcomeDone
 		return reply
 	}
+	if refusal := (*zinniayoke.CallError)(nil); errors.As(err, &refusal) && refusal.Outcome == zinniayoke.OutcomeNotRun {
+		return r.refuse(a, refusal)
+	}
 	if !handed {
+		r.checkCrash()
 		return r.refuse(a, zinniayoke.Refuse(zinniayoke.ReasonNoUpstream, "the worker takes no connections"))
 	}
 	if ctx.Err() == nil {
--- a/core/zyingress/worker.go
+++ b/core/zyingress/worker.go
@@ -16,6 +16,19 @@
 	Connections int                    `json:"connections"`
 	State       zinniayoke.WorkerState `json:"state"`
 	Incarnation zinniayoke.Incarnation `json:"incarnation"`
+	// Instance names this start of the worker, "" where the worker checks no names.
+	Instance zinniayoke.Instance `json:"instance,omitempty"`
+	// Sequence orders the announcements of one incarnation, 0 where it is not told.
+	Sequence uint64 `json:"sequence,omitempty"`
+	// Cold is how long the worker will still be slow after its start.
+	Cold time.Duration `json:"cold,omitempty"`
+}
+
+// same reports whether a says of the worker what b says, leaving out what
+// changes with each announcement.
+func (a Announcement) same(b Announcement) bool {
+	a.Sequence, a.Cold = b.Sequence, b.Cold
+	return a == b
 }
 
 // Bounds of what a worker may announce.
@@ -55,17 +68,33 @@
 // Announce takes in what the worker says. Connect is called for a worker that
 // is new or has moved. It reports whether others need to know of a change.
 func (r *Receiver) Announce(a Announcement, connect func(Announcement) zinniayoke.Worker) (bool, error) {
+	if a.State == zinniayoke.WorkerGone {
+		return r.dismiss(a.Instance), nil
+	}
 	if err := a.Check(); err != nil {
 		return false, err
 	}
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	fresh := r.worker == nil || a.Incarnation > r.told.Incarnation
+	if a.Incarnation == r.told.Incarnation && a.Sequence != 0 && a.Sequence <= r.told.Sequence {
+		return false, nil // A later announcement has arrived before this one.
+	}
+	if r.dismissed && a.Incarnation <= r.told.Incarnation {
+		return false, nil
+	}
+	r.dismissed = false
+	// A worker that was found by a probe has no incarnation yet.
+	found := r.worker != nil && r.told.Incarnation == 0 && a.Instance != "" && a.Instance == r.told.Instance
+	fresh := r.worker == nil || a.Incarnation > r.told.Incarnation && !found
+	if r.worker != nil && !fresh && r.told.State == zinniayoke.WorkerDraining && a.Sequence == 0 {
+		a.State = zinniayoke.WorkerDraining
+	}
 	if r.worker != nil && a.Incarnation < r.told.Incarnation {
 		return false, &AnnouncementError{Field: "incarnation", Accepted: "one that is not older than the last"}
 	}
-	changed := fresh || a != r.told || now.Sub(r.toldAt) > announceLapse
+	changed := fresh || r.crashed || !a.same(r.told) || now.Sub(r.toldAt) > r.cfg.Lapse
+	r.crashed = false
 	if fresh || a.Address != r.told.Address || a.Connections != r.told.Connections {
 		r.worker = connect(a)
 	}
@@ -74,6 +103,9 @@
 	}
 	r.gate.Announce(a.Slots)
 	r.told, r.toldAt = a, now
+	if a.State == zinniayoke.WorkerDraining {
+		r.letGo(zinniayoke.ReasonDraining)
+	}
 	return changed, nil
 }
 
@@ -81,7 +113,7 @@
 // by their own contexts; calls that run are lost with the old worker.
 func (r *Receiver) newGate(a Announcement) {
 	old := r.gate
-	r.gate = zyadmission.NewGate(zyadmission.Config{Slots: a.Slots})
+	r.gate = zyadmission.NewGate(zyadmission.Config{Slots: a.Slots, Fixed: r.cfg.FixedLimit})
 	r.crashed = false
 	if old == nil {
 		return
@@ -94,6 +126,38 @@
 	}
 }
 
+// dismiss notes that a start of the worker ends. It takes no new calls, and
+// nothing that it said before brings it back. It reports whether that is news.
+func (r *Receiver) dismiss(id zinniayoke.Instance) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.worker == nil || r.told.Instance != id || r.dismissed {
+		return false
+	}
+	r.dismissed = true
+	r.told.State = zinniayoke.WorkerDraining
+	r.letGo(zinniayoke.ReasonDraining)
+	return true
+}
+
+// letGo refuses all calls that wait. The lock is held.
+func (r *Receiver) letGo(reason zinniayoke.Reason) {
+	for _, c := range r.calls {
+		if !c.running && r.gate.Leave(c.attempt.ID) {
+			c.decided <- reason
+			r.forget(c)
+		}
+	}
+}
+
+// Misdirected notes that another worker has the address of this one, which is
+// gone until it announces itself again.
+func (r *Receiver) misdirected() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.crashed = true
+}
+
 // Worker returns the last announcement, and its state as others should see it.
 func (r *Receiver) Worker() (Announcement, zinniayoke.WorkerState) {
 	r.mu.Lock()
@@ -103,7 +167,7 @@
 		return r.told, zinniayoke.WorkerGone
 	case r.draining:
 		return r.told, zinniayoke.WorkerDraining
-	case r.crashed || time.Since(r.toldAt) > announceLapse:
+	case r.crashed || time.Since(r.toldAt) > r.cfg.Lapse:
 		return r.told, zinniayoke.WorkerGone
 	}
 	return r.told, r.told.State
@@ -146,6 +210,16 @@
 	}
 }
 
+// Refuse lets the receiver take no new attempts, and gives up those that wait.
+func (r *Receiver) Refuse() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.draining = true
+	if r.gate != nil {
+		r.letGo(zinniayoke.ReasonDraining)
+	}
+}
+
 // Drain refuses new attempts and waits until those at hand have ended or ctx is
 // done, whose error it returns then.
 func (r *Receiver) Drain(ctx context.Context) error {
--- a/core/zyini/value.go
+++ b/core/zyini/value.go
@@ -157,6 +157,17 @@
 	}
 }
 
+// Factor accepts plain decimal numbers from 0 to high, such as 0.2.
+func Factor(high float64) Kind[float64] {
+	return Kind[float64]{
+		Parse: func(text string) (float64, bool) {
+			n, ok := parseUnit(text, []unit{{"", 1}})
+			return n, ok && n <= high
+		},
+		Accepted: fmt.Sprintf("a number from 0 to %g", high),
+	}
+}
+
 // OneOf accepts the listed words.
 func OneOf(words ...string) Kind[string] {
 	return Kind[string]{
--- a/core/zysettings/settings.go
+++ b/core/zysettings/settings.go
@@ -3,6 +3,7 @@
 
 import (
 	"crypto/ed25519"
+	"fmt"
 	"net"
 	"strings"
 	"time"
@@ -22,6 +23,31 @@
 	Logging  Logging
 	Genesis  Genesis
 	Shutdown Shutdown
+	// Store is the address of a platform's metadata store. A node has either a
+	// Store or a Log.
+	Store  string
+	Worker Worker
+	Memory zinniayoke.Bytes
+	Retry  Retry
+}
+
+// Worker is what the settings say of the host's own worker, which otherwise
+// announces itself.
+type Worker struct {
+	Service zinniayoke.Service
+	Address string
+	// Heartbeat is the period of the worker's announcements.
+	Heartbeat time.Duration
+	// Drain is how long a worker that leaves still serves.
+	Drain time.Duration
+}
+
+// Retry bounds the repeated sends to a service by all nodes together: in each
+// window, Ratio of the first sends and Slack more.
+type Retry struct {
+	Ratio  float64
+	Window time.Duration
+	Slack  float64
 }
 
 // Listen holds the addresses of the node's ports, each an IP number and a port.
@@ -49,6 +75,19 @@
 type Shutdown struct {
 	// Grace is how long calls in flight may take to finish.
 	Grace time.Duration
+	// Notice is how long the node takes calls after it was told to stop, until its
+	// callers have noticed that it is not ready.
+	Notice time.Duration
+}
+
+// Summary returns the settings that tell operators how the node runs.
+func (s *Settings) Summary() string {
+	platform := "log " + s.Log
+	if s.Store != "" {
+		platform = "store " + s.Store
+	}
+	return fmt.Sprintf("host %s, domain %s, region %s, %s, worker %s, grace %s",
+		s.Host, s.Place.Domain, s.Place.Region, platform, s.Worker.Service, s.Shutdown.Grace)
 }
 
 const (
@@ -56,6 +95,12 @@
 	longestGrace = 10 * time.Minute
 	usualGrace   = 15 * time.Second
 	mostNeeded   = 16
+	// usualHeartbeat is the period of announcements that docs/OPERATORS.md asks for.
+	usualHeartbeat = time.Second
+	leastMemory    = 32 * zinniayoke.MiB
+	mostMemory     = 64 * 1024 * zinniayoke.MiB
+	mostRatio      = 100
+	mostSlack      = 1_000_000
 )
 
 // Parse reads settings and checks them whole. The error is a
@@ -67,23 +112,38 @@
 		Genesis:  Genesis{Approvals: 1, Approvers: make(map[string]ed25519.PublicKey)},
 		Shutdown: Shutdown{Grace: usualGrace},
 	}
-	needed := map[string]bool{"node": false, "listen": false, "peers": false, "log": false}
+	needed := map[string]bool{"node": false, "listen": false, "peers": false}
 	for _, section := range file.Sections() {
 		needed[section.Header] = true
 		s.readSection(section)
 		section.Close()
 	}
-	for _, header := range []string{"node", "listen", "peers", "log"} {
+	for _, header := range []string{"node", "listen", "peers"} {
 		if file.Err() == nil && !needed[header] {
 			file.Reject(header, "no such section", "["+header+"]")
 		}
 	}
+	if file.Err() == nil {
+		s.checkPlatform(file)
+	}
 	if err := file.Err(); err != nil {
 		return nil, err
 	}
 	return s, nil
 }
 
+// checkPlatform rejects settings without a platform or with two.
+func (s *Settings) checkPlatform(file *zyini.File) {
+	switch {
+	case s.Log == "" && s.Store == "":
+		file.Reject("log", "no such section", "[log] or [store]")
+	case s.Log != "" && s.Store != "":
+		file.Reject("store", "a [log] section beside it", "[log] or [store]")
+	case s.Store != "" && s.Worker.Address == "":
+		file.Reject("worker", "no such section", "[worker] beside [store]")
+	}
+}
+
 func (s *Settings) readSection(section *zyini.Section) {
 	switch section.Kind {
 	case "node":
@@ -100,6 +160,19 @@
 		s.PeerKey = zyini.Need(section, "key", zyini.Hex(peerKeySize))
 	case "log":
 		s.Log = zyini.Need(section, "address", address())
+	case "store":
+		s.Store = zyini.Need(section, "address", address())
+	case "worker":
+		s.Worker.Service = zyini.Need(section, "service", zyini.Name[zinniayoke.Service]())
+		s.Worker.Address = zyini.Need(section, "address", address())
+		s.Worker.Heartbeat = zyini.Get(section, "heartbeat", zyini.Duration(time.Millisecond, longestGrace), usualHeartbeat)
+		s.Worker.Drain = zyini.Get(section, "drain", zyini.Duration(0, longestGrace), 0)
+	case "memory":
+		s.Memory = zyini.Need(section, "limit", zyini.Size(leastMemory, mostMemory))
+	case "retry":
+		s.Retry.Ratio = zyini.Need(section, "ratio", zyini.Factor(mostRatio))
+		s.Retry.Window = zyini.Need(section, "window", zyini.Duration(time.Second, longestGrace))
+		s.Retry.Slack = zyini.Need(section, "slack", zyini.Factor(mostSlack))
 	case "logging":
 		s.Logging.Level = zyini.Get(section, "level", zyini.OneOf("debug", "info", "warn", "error"), "info")
 		s.Logging.Format = zyini.Get(section, "format", zyini.OneOf("text", "json"), "text")
@@ -109,8 +182,9 @@
 		s.Genesis.Approvers[section.Name] = zyini.Need(section, "publicKey", zyini.Hex(ed25519.PublicKeySize))
 	case "shutdown":
 		s.Shutdown.Grace = zyini.Get(section, "grace", zyini.Duration(0, longestGrace), usualGrace)
+		s.Shutdown.Notice = zyini.Get(section, "notice", zyini.Duration(0, longestGrace), 0)
 	default:
-		section.RejectSection("an unknown section", "node, listen, peers, log, logging, approvals, approver, shutdown")
+		section.RejectSection("an unknown section", "node, listen, peers, log, store, worker, memory, retry, logging, approvals, approver, shutdown")
 	}
 }
 
--- a/core/zysuspect/quarantine.go
+++ b/core/zysuspect/quarantine.go
@@ -47,6 +47,10 @@
 type Config struct {
 	// Most bounds the cases that are kept; the oldest go first.
 	Most int
+	// Crashes is the number of crashes in a row, without a whole run between
+	// them, after which a request is quarantined. 0 lets a suspect run alone
+	// instead, until it crashes a worker that runs nothing else.
+	Crashes int
 }
 
 // Book keeps the cases. It may be used by several goroutines. A Book must be
@@ -85,7 +89,7 @@
 func (b *Book) Clear(p Print) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if c, ok := b.cases[p]; ok && !convicted(c) {
+	if c, ok := b.cases[p]; ok && !b.convicted(c) {
 		delete(b.cases, p)
 	}
 }
@@ -116,8 +120,11 @@
 		delete(b.cases, p)
 		return RunFreely
 	}
-	if convicted(c) {
+	switch {
+	case b.convicted(c):
 		return RunNever
+	case b.cfg.Crashes > 0:
+		return RunFreely
 	}
 	return RunAlone
 }
@@ -136,7 +143,10 @@
 // convicted reports whether the request itself is to blame: it crashed a worker
 // that ran nothing else. Several crashes beside others prove nothing, since
 // many workers run the same popular lookup at any time.
-func convicted(c *Case) bool {
+func (b *Book) convicted(c *Case) bool {
+	if b.cfg.Crashes > 0 {
+		return c.Crashes >= b.cfg.Crashes
+	}
 	return c.Alone > 0
 }
 
--- a/failure.go
+++ b/failure.go
@@ -1,6 +1,7 @@
 package zinniayoke
 
 import (
+	"errors"
 	"fmt"
 	"time"
 )
@@ -38,6 +39,10 @@
 	return &CallError{Reason: reason, Outcome: OutcomeUnknown, Detail: detail}
 }
 
+// ErrMisdirected says that another worker than the one that was meant answers at
+// an address. The call has not run.
+var ErrMisdirected = errors.New("another worker has this address")
+
 // ExpiredError says that records before First are no longer in the log.
 type ExpiredError struct {
 	Stream Stream
--- a/identifier.go
+++ b/identifier.go
@@ -44,6 +44,10 @@
 // larger numbers.
 type Incarnation uint64
 
+// Instance names one start of a worker, so that a call is not run by another
+// worker that was given its address. The zero value names none.
+type Instance string
+
 // Offset is a position in a stream of the log.
 type Offset uint64
 
--- /dev/null
+++ b/io/zynode/edges.go
@@ -0,0 +1,146 @@
+package zynode
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"zinniayoke"
+	"zinniayoke/core/zybundle"
+	"zinniayoke/core/zyentry"
+	"zinniayoke/core/zyingress"
+	"zinniayoke/io/zylog"
+	"zinniayoke/io/zyweb"
+	"zinniayoke/io/zyworker"
+)
+
+// Edges are where a node meets its callers, its worker, the operators' bundle
+// and other nodes. The request path between them is the same for all edges.
+type Edges struct {
+	// Caller serves the port for callers.
+	Caller func(e CallerEdge) http.Handler
+	// Upstream serves the port for the host's own worker.
+	Upstream func(announce func(zyingress.Announcement) error) http.Handler
+	// Worker connects to the worker.
+	Worker func(a zyingress.Announcement) zinniayoke.Worker
+	// Find looks for a worker that runs already when the node starts; nil where
+	// the worker's next announcement is waited for.
+	Find func(ctx context.Context, rules *zybundle.Bundle) (zyingress.Announcement, error)
+	// Bundles tells which bundle is in force; nil where the nodes agree on it over
+	// the log.
+	Bundles Bundles
+	Meeting zinniayoke.Meeting
+	// ReadyPath is where the admin port answers whether the node is ready, beside
+	// /readyz.
+	ReadyPath string
+}
+
+// CallerEdge is what the port for callers works with.
+type CallerEdge struct {
+	Entry *zyentry.Entry
+	Rules func() *zybundle.Bundle
+	// Leaving reports whether the node is stopping.
+	Leaving func() bool
+}
+
+// Bundles is a platform that decides itself which bundle is in force.
+type Bundles interface {
+	// Watch calls put with the newest bundle and with each later one, until ctx
+	// is done. It calls noted with the result of each read, nil included.
+	Watch(ctx context.Context, put func(b *zybundle.Bundle), noted func(err error))
+	// Decode reads the text of a bundle that a peer passed on.
+	Decode(text []byte) (*zybundle.Bundle, error)
+}
+
+// fill sets the product's own edges where none are given.
+func (e *Edges) fill(n *Node) {
+	if e.Caller == nil {
+		e.Caller = func(c CallerEdge) http.Handler {
+			return zyweb.NewCaller(zyweb.CallerConfig{Entry: c.Entry, Rules: c.Rules})
+		}
+	}
+	if e.Upstream == nil {
+		e.Upstream = func(announce func(zyingress.Announcement) error) http.Handler {
+			return zyweb.NewUpstream(zyweb.UpstreamConfig{Announce: announce})
+		}
+	}
+	if e.Worker == nil {
+		e.Worker = func(a zyingress.Announcement) zinniayoke.Worker {
+			return zyworker.New(zyworker.Config{Address: a.Address, Connections: a.Connections})
+		}
+	}
+	if e.Bundles == nil {
+		n.platform = zylog.NewClient(zylog.ClientConfig{Address: n.cfg.Settings.Log})
+	}
+	if e.Meeting == nil {
+		e.Meeting = &memberStream{log: n.platform}
+	}
+	n.meeting = e.Meeting
+}
+
+func (e *Edges) decoder() func(text []byte) (*zybundle.Bundle, error) {
+	if e.Bundles == nil {
+		return nil
+	}
+	return e.Bundles.Decode
+}
+
+// decided reports whether the platform decides which bundle is in force.
+func (n *Node) decided() bool {
+	return n.cfg.Edges.Bundles != nil
+}
+
+// watch takes in the bundles that the platform has decided on.
+func (n *Node) watch() {
+	if !n.decided() {
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stopWatch = cancel
+	go n.cfg.Edges.Bundles.Watch(ctx, func(b *zybundle.Bundle) {
+		if n.book.Put(b) {
+			n.gossip.Flush()
+		}
+	}, n.noteStore)
+}
+
+// noteStore logs when the platform is lost and regained.
+func (n *Node) noteStore(err error) {
+	lost := err != nil
+	if n.storeLost.Swap(lost) == lost {
+		return
+	}
+	if lost {
+		n.log.With("error", err).With("version", n.book.Version()).Warn("The store is lost. The bundle in force stays.")
+		return
+	}
+	n.log.With("version", n.book.Version()).Info("The store is back.")
+}
+
+// follow reads the log where the nodes agree over it.
+func (n *Node) follow(now time.Time) {
+	if !n.decided() {
+		n.follower.Follow(now)
+	}
+}
+
+const findTimeout = 500 * time.Millisecond
+
+// findWorker looks for a worker that has been running since before the node
+// started, so that it is not idle until its next announcement.
+func (n *Node) findWorker() {
+	if n.cfg.Edges.Find == nil {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), findTimeout)
+		defer cancel()
+		a, err := n.cfg.Edges.Find(ctx, n.book.Rules())
+		if err == nil {
+			err = n.announce(a)
+		}
+		if err != nil {
+			n.log.With("error", err).Info("No worker was found at the start.")
+		}
+	}()
+}
--- a/io/zynode/follow.go
+++ b/io/zynode/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"sync"
@@ -155,55 +154,3 @@
 	order := zytree.Order("checkpoint", all)
 	return len(order) > 0 && order[0] == f.self
 }
-
-// memberRecord is the body of a record of the member stream.
-type memberRecord struct {
-	Node zinniayoke.NodeID `json:"node"`
-	Peer string            `json:"peer"`
-}
-
-const (
-	memberTail    = 64
-	memberTimeout = 1 * time.Second
-)
-
-// announceMember adds this node to the member stream.
-func announceMember(l zinniayoke.Log, node zinniayoke.NodeID, peer string) error {
-	body, err := json.Marshal(memberRecord{Node: node, Peer: peer})
-	if err != nil {
-		return fmt.Errorf("member record: %w", err)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), memberTimeout)
-	defer cancel()
-	if _, err := l.Append(ctx, zinniayoke.MemberStream, uuid.NewString(), body); err != nil {
-		return fmt.Errorf("member record: %w", err)
-	}
-	return nil
-}
-
-// recentMembers returns addresses from the member stream, newest last.
-func recentMembers(l zinniayoke.Log) ([]string, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), memberTimeout)
-	defer cancel()
-	from, err := l.First(ctx, zinniayoke.MemberStream)
-	if err != nil {
-		return nil, fmt.Errorf("members: %w", err)
-	}
-	var addresses []string
-	for {
-		records, err := l.Read(ctx, zinniayoke.MemberStream, from, readLimit)
-		if err != nil {
-			return addresses, fmt.Errorf("members: %w", err)
-		}
-		if len(records) == 0 {
-			return addresses[max(len(addresses)-memberTail, 0):], nil
-		}
-		for _, r := range records {
-			var m memberRecord
-			if json.Unmarshal(r.Body, &m) == nil && m.Peer != "" {
-				addresses = append(addresses, m.Peer)
-			}
-		}
-		from = records[len(records)-1].Offset + 1
-	}
-}
--- a/io/zynode/join.go
+++ b/io/zynode/join.go
@@ -14,36 +14,49 @@
 // join takes over the member list and the bundle of a node that is there
 // already, found by the seeds of the settings or the member stream of the log.
 func (n *Node) join() {
+	if !n.joining.TryLock() {
+		return
+	}
+	defer n.joining.Unlock()
 	own := n.peer
 	seeds := slices.DeleteFunc(slices.Clone(n.cfg.Settings.Seeds), func(a string) bool { return a == own })
-	recent, err := recentMembers(n.platform)
+	ctx, cancel := context.WithTimeout(context.Background(), meetingTimeout)
+	defer cancel()
+	if err := n.meeting.Announce(ctx, n.id, own); err != nil {
+		n.log.With("error", err).Warn("The node could not leave its address at the meeting place.")
+	}
+	recent, err := n.meeting.Find(ctx)
 	if err != nil {
-		n.log.With("error", err).Debug("The member stream cannot be read.")
+		n.log.With("error", err).Warn("The meeting place cannot be read.")
 	}
-	slices.Reverse(recent)
-	const mostTried = 8
-	tried := 0
+	const mostTried, mostJoined = 8, 3
+	tried, met := 0, 0
 	for _, address := range append(seeds, recent...) {
 		if address == own || tried >= mostTried {
 			continue
 		}
 		tried++
 		if n.syncWith(address) {
-			n.joined = true
-			_ = n.spread.Fetch(address)
+			n.joined.Store(true)
+			met++
+			if err := n.spread.Fetch(address); err != nil {
+				n.log.With("error", err).With("peer", address).Debug("No bundle was taken over.")
+			}
+		}
+		if met >= mostJoined {
 			break
 		}
 	}
 	if tried == 0 && err == nil {
 		// Nobody else is known: this is the first node of all.
-		n.joined = true
+		n.joined.Store(true)
+	}
+	if n.decided() {
+		return
 	}
 	if err := n.follower.Read(); err != nil {
 		n.log.With("error", err).Debug("The bundle stream cannot be read.")
 	}
-	if err := announceMember(n.platform, n.id, own); err != nil {
-		n.log.With("error", err).Debug("The member stream cannot be written.")
-	}
 }
 
 // syncWith compares member lists with one node, in both directions.
--- a/io/zynode/node.go
+++ b/io/zynode/node.go
@@ -6,41 +6,33 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/collectors"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
 	"zinniayoke"
 	"zinniayoke/core/zyagreement"
-	"zinniayoke/core/zyattempt"
 	"zinniayoke/core/zyclaim"
-	"zinniayoke/core/zydoor"
-	"zinniayoke/core/zyegress"
 	"zinniayoke/core/zyentry"
 	"zinniayoke/core/zyfence"
 	"zinniayoke/core/zyhome"
 	"zinniayoke/core/zyingress"
 	"zinniayoke/core/zymember"
-	"zinniayoke/core/zyparent"
 	"zinniayoke/core/zypick"
-	"zinniayoke/core/zyrank"
 	"zinniayoke/core/zysettings"
 	"zinniayoke/core/zysuspect"
 	"zinniayoke/core/zytimer"
 	"zinniayoke/io/zygossip"
-	"zinniayoke/io/zylog"
 	"zinniayoke/io/zylogger"
 	"zinniayoke/io/zymetric"
 	"zinniayoke/io/zypeer"
 	"zinniayoke/io/zyweb"
-	"zinniayoke/io/zyworker"
 )
 
 // Config configures a node.
@@ -49,6 +41,9 @@
 	Output   io.Writer
 	// Period is the probe period of the membership; 0 means one second.
 	Period time.Duration
+	// Edges are where the node meets what is outside of it. Nil fields get those of
+	// the product itself.
+	Edges Edges
 }
 
 const (
@@ -58,6 +53,7 @@
 	syncPeriod      = 10 * time.Second
 	upkeepPeriod    = 1 * time.Second
 	joinTimeout     = 1 * time.Second
+	meetingTimeout  = 1 * time.Second
 	mostAttempts    = 200_000
 	mostKeys        = 200_000
 	mostSuspects    = 4096
@@ -81,6 +77,7 @@
 	server   *zypeer.Server
 	gossip   *zygossip.Socket
 	platform zinniayoke.Log
+	meeting  zinniayoke.Meeting
 	follower *follower
 	spread   *spreader
 	receiver *zyingress.Receiver
@@ -98,9 +95,13 @@
 	https    []*http.Server
 	subs     []*zytimer.Subscription
 	ports    ports
-	joined   bool
-	leaving  atomic.Bool
-	since    time.Time
+	// joined is true once another node has answered, or none is known.
+	joined    atomic.Bool
+	joining   sync.Mutex
+	stopWatch context.CancelFunc
+	storeLost atomic.Bool
+	leaving   atomic.Bool
+	since     time.Time
 	// peer is the address of the peer port, also for membership packets.
 	peer string
 }
@@ -150,7 +151,7 @@
 	n.book = newRuleBook(zyagreement.Authority{
 		Approvals: cfg.Settings.Genesis.Approvals, Approvers: cfg.Settings.Genesis.Approvers,
 	})
-	n.platform = zylog.NewClient(zylog.ClientConfig{Address: cfg.Settings.Log})
+	n.cfg.Edges.fill(n)
 	n.client = zypeer.NewClient(zypeer.ClientConfig{Key: cfg.Settings.PeerKey, Timer: n.timer})
 	n.makeView()
 	n.makeRequestPath()
@@ -183,78 +184,11 @@
 	return nil
 }
 
-func (n *Node) makeView() {
-	n.view = newView(n.id, n.book.Rules)
-	seed := uint64(time.Now().UnixNano())
-	n.suspects = zysuspect.New(zysuspect.Config{Most: mostSuspects})
-	n.view.table = zymember.NewTable(time.Now(), zymember.Config{
-		Self:     n.self(),
-		Period:   n.cfg.Period,
-		Remember: rememberDead,
-		Random:   rand.New(rand.NewPCG(seed, uint64(len(n.id)))),
-		OnSuspectRequest: func(now time.Time, c zymember.Change) {
-			news := zysuspect.Case{Print: zysuspect.Print(c.Print), Crashes: c.Crashes, Alone: c.Alone}
-			if n.suspects.Merge(now, news) {
-				n.view.table.Suspect(c)
-			}
-		},
-	})
-	n.view.refresh()
-}
-
-// self is what the node says about itself.
-func (n *Node) self() zinniayoke.Upstream {
-	u := zinniayoke.Upstream{Node: n.id, Place: n.cfg.Settings.Place, Peer: n.peer, Leaving: n.leaving.Load()}
-	if n.receiver == nil {
-		return u
-	}
-	told, state := n.receiver.Worker()
-	u.Service, u.Slots, u.Connections = told.Service, told.Slots, told.Connections
-	u.State, u.Incarnation = state, told.Incarnation
-	return u
-}
-
-func (n *Node) makeRequestPath() {
-	n.registry = prometheus.NewRegistry()
-	n.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	n.meter = zymetric.New(zymetric.Config{Registry: n.registry, Rules: n.book.Rules})
-	n.grants = zyclaim.NewGrants(zyclaim.GrantsConfig{Node: n.id, Most: mostKeys, Window: firstKeyWindow})
-	n.keeper = zyclaim.NewKeeper(zyclaim.KeeperConfig{Node: n.id, Most: mostKeys, Window: firstKeyWindow})
-	n.fence = zyfence.New(zyfence.Config{Most: mostAttempts, MostBytes: mostAnswerBytes, Keep: keepAttempts})
-	parents := &zyparent.Table{}
-	door := zydoor.New()
-	n.links = &zypick.LinkBudget{}
-	n.picker = zypick.New(zypick.Config{
-		Place: n.cfg.Settings.Place, Roster: n.view, Links: n.links, Random: rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1)),
-	})
-	n.receiver = zyingress.New(zyingress.Config{
-		Node: n.id, Rules: n.book.Rules, Fence: n.fence, Grants: n.grants, Suspects: n.suspects,
-		Parents: parents, Timer: n.timer, Meter: n.meter, OnSuspects: n.spreadSuspects,
-	})
-	sender := zyegress.New(zyegress.Config{
-		Peers: &localPeers{self: n.id, receiver: n.receiver, remote: n.client}, Picker: n.picker, Roster: n.view, Door: door,
-		Budgets: zyattempt.NewBudgets(), Suspects: n.suspects, Meter: n.meter, Rules: n.book.Rules,
-		Place: n.cfg.Settings.Place, Links: n.links,
-	})
-	n.keepers = &keepers{
-		node: n.id, view: n.view, client: n.client, rules: n.book.Rules, ask: n.receiver.Ask,
-		memory: zyhome.Answerer{Grants: n.grants, Keeper: n.keeper},
-	}
-	n.home = zyhome.New(zyhome.Config{
-		Node: n.id, Domain: n.cfg.Settings.Place.Domain, Keeper: n.keeper, Sender: sender,
-		Rules: n.book.Rules, Elders: n.keepers, Moved: n.keepers, Roll: n.view,
-	})
-	n.keepers.home = n.home
-	n.entry = zyentry.New(zyentry.Config{
-		Rules: n.book.Rules, Parents: parents, Door: door, Sender: sender, Keepers: n.keepers.booker(),
-		Suspects: n.suspects, Shares: zyrank.NewShares(), Meter: n.meter,
-	})
-}
-
 func (n *Node) makeServers() error {
 	s := n.cfg.Settings
 	n.spread = &spreader{
-		self: n.id, domain: s.Place.Domain, book: n.book, view: n.view, client: n.client, log: n.logger.Part("bundle"),
+		decode: n.cfg.Edges.decoder(),
+		self:   n.id, domain: s.Place.Domain, book: n.book, view: n.view, client: n.client, log: n.logger.Part("bundle"),
 	}
 	n.follower = &follower{
 		self: n.id, domain: s.Place.Domain, log: n.platform, book: n.book, view: n.view,
@@ -267,10 +201,11 @@
 	}
 	n.server = server
 	n.https = []*http.Server{
-		newHTTP(zyweb.NewCaller(zyweb.CallerConfig{Entry: n.entry, Rules: n.book.Rules})),
-		newHTTP(zyweb.NewUpstream(zyweb.UpstreamConfig{Announce: n.announce})),
+		newHTTP(n.cfg.Edges.Caller(CallerEdge{Entry: n.entry, Rules: n.book.Rules, Leaving: n.leaving.Load})),
+		newHTTP(n.cfg.Edges.Upstream(n.announce)),
 		newHTTP(zyweb.NewAdmin(zyweb.AdminConfig{
 			Registry: n.registry, Ready: n.Ready, State: func() any { return n.State() }, SetLevel: n.logger.SetLevel,
+			ReadyPath: n.cfg.Edges.ReadyPath,
 		})),
 	}
 	n.registerGauges()
@@ -281,58 +216,6 @@
 	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
 }
 
-// announce takes in what the host's worker says.
-func (n *Node) announce(a zyingress.Announcement) error {
-	changed, err := n.receiver.Announce(a, func(a zyingress.Announcement) zinniayoke.Worker {
-		return zyworker.New(zyworker.Config{Address: a.Address, Connections: a.Connections})
-	})
-	if err != nil {
-		return fmt.Errorf("worker: %w", err)
-	}
-	if changed {
-		n.updateSelf()
-	}
-	return nil
-}
-
-// updateSelf tells the others what has changed here.
-func (n *Node) updateSelf() {
-	u := n.self()
-	n.view.mu.Lock()
-	before := n.view.table.Revision()
-	n.view.table.Update(time.Now(), u)
-	changed := n.view.table.Revision() != before
-	n.view.mu.Unlock()
-	if !changed {
-		return
-	}
-	n.view.refresh()
-	if n.gossip != nil {
-		n.gossip.Flush()
-	}
-}
-
-func (n *Node) spreadSuspects(cases []zysuspect.Case) {
-	n.log.With("requests", len(cases)).Warn("The worker has crashed. The requests that it ran are suspected.")
-	n.view.mu.Lock()
-	for _, c := range cases {
-		n.view.table.Suspect(zymember.Change{Print: uint64(c.Print), Crashes: c.Crashes, Alone: c.Alone})
-	}
-	n.view.mu.Unlock()
-	n.gossip.Flush()
-}
-
-// onBundle puts the limits of a new bundle into force here.
-func (n *Node) onBundle() {
-	rules := n.book.Rules()
-	n.grants.SetWindow(rules.KeyWindow)
-	n.keeper.SetWindow(rules.KeyWindow)
-	n.view.mu.Lock()
-	n.view.table.SetVersion(rules.Version)
-	n.view.mu.Unlock()
-	n.log.With("version", rules.Version).Info("A bundle is in force.")
-}
-
 // NotReadyError says why a node does not serve yet.
 type NotReadyError struct {
 	Problem string
@@ -345,8 +228,11 @@
 
 // Ready returns a *NotReadyError where the node cannot serve.
 func (n *Node) Ready() error {
-	if n.book.Rules() == nil {
+	switch {
+	case n.book.Rules() == nil:
 		return &NotReadyError{Problem: "no bundle is in force here yet"}
+	case n.leaving.Load():
+		return &NotReadyError{Problem: "the node is stopping"}
 	}
 	return nil
 }
@@ -360,12 +246,18 @@
 		OnVersion: func(p *zymember.Packet) { n.spread.Notice(p.Version, p.FromAddress) },
 		OnChange:  n.onMembers,
 	})
-	n.join()
+	n.watch()
 	for i, listener := range []net.Listener{n.ports.caller, n.ports.upstream, n.ports.admin} {
 		go n.serve(n.https[i], listener)
 	}
+	n.findWorker()
+	if n.decided() {
+		go n.join() // The store may be down while calls can be served.
+	} else {
+		n.join()
+	}
 	n.subscribe()
-	n.log.With("id", n.id).Info("The node has started.")
+	n.log.With("id", n.id).With("settings", n.cfg.Settings.Summary()).Info("The node has started.")
 	return nil
 }
 
@@ -377,7 +269,7 @@
 
 func (n *Node) subscribe() {
 	n.subs = append(n.subs,
-		n.timer.Every(followPeriod, n.follower.Follow),
+		n.timer.Every(followPeriod, n.follow),
 		n.timer.Every(syncPeriod, func(time.Time) { n.syncRandom() }),
 		n.timer.Every(upkeepPeriod, n.upkeep),
 	)
@@ -413,7 +305,7 @@
 	n.keeper.Sweep(now)
 	n.picker.Sweep(now)
 	n.updateSelf()
-	if !n.joined {
+	if !n.joined.Load() {
 		n.join()
 	}
 }
--- /dev/null
+++ b/io/zynode/path.go
@@ -0,0 +1,180 @@
+package zynode
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"zinniayoke"
+	"zinniayoke/core/zyattempt"
+	"zinniayoke/core/zyclaim"
+	"zinniayoke/core/zydoor"
+	"zinniayoke/core/zyegress"
+	"zinniayoke/core/zyentry"
+	"zinniayoke/core/zyfence"
+	"zinniayoke/core/zyhome"
+	"zinniayoke/core/zyingress"
+	"zinniayoke/core/zymember"
+	"zinniayoke/core/zyparent"
+	"zinniayoke/core/zypick"
+	"zinniayoke/core/zyrank"
+	"zinniayoke/core/zysplit"
+	"zinniayoke/core/zysuspect"
+	"zinniayoke/io/zymetric"
+)
+
+func (n *Node) makeView() {
+	n.view = newView(n.id, n.book.Rules)
+	seed := uint64(time.Now().UnixNano())
+	n.suspects = zysuspect.New(zysuspect.Config{Most: mostSuspects, Crashes: n.crashes()})
+	n.view.table = zymember.NewTable(time.Now(), zymember.Config{
+		Self:     n.self(),
+		Period:   n.cfg.Period,
+		Remember: rememberDead,
+		Random:   rand.New(rand.NewPCG(seed, uint64(len(n.id)))),
+		OnSuspectRequest: func(now time.Time, c zymember.Change) {
+			news := zysuspect.Case{Print: zysuspect.Print(c.Print), Crashes: c.Crashes, Alone: c.Alone}
+			if n.suspects.Merge(now, news) {
+				n.view.table.Suspect(c)
+			}
+		},
+	})
+	n.view.refresh()
+}
+
+// self is what the node says about itself.
+func (n *Node) self() zinniayoke.Upstream {
+	u := zinniayoke.Upstream{Node: n.id, Place: n.cfg.Settings.Place, Peer: n.peer, Leaving: n.leaving.Load()}
+	if n.receiver == nil {
+		return u
+	}
+	told, state := n.receiver.Worker()
+	u.Service, u.Slots, u.Connections = told.Service, told.Slots, told.Connections
+	u.State, u.Incarnation = state, told.Incarnation
+	return u
+}
+
+func (n *Node) makeRequestPath() {
+	n.registry = prometheus.NewRegistry()
+	n.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	n.meter = zymetric.New(zymetric.Config{Registry: n.registry, Rules: n.book.Rules})
+	n.grants = zyclaim.NewGrants(zyclaim.GrantsConfig{Node: n.id, Most: mostKeys, Window: firstKeyWindow})
+	n.keeper = zyclaim.NewKeeper(zyclaim.KeeperConfig{Node: n.id, Most: mostKeys, Window: firstKeyWindow})
+	n.fence = zyfence.New(zyfence.Config{Most: mostAttempts, MostBytes: mostAnswerBytes, Keep: keepAttempts})
+	parents := &zyparent.Table{}
+	door := zydoor.New()
+	n.links = &zypick.LinkBudget{}
+	n.picker = zypick.New(zypick.Config{
+		Place: n.cfg.Settings.Place, Roster: n.view, Links: n.links, Random: rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1)),
+	})
+	n.receiver = zyingress.New(zyingress.Config{
+		Node: n.id, Rules: n.book.Rules, Fence: n.fence, Grants: n.grants, Suspects: n.suspects,
+		Parents: parents, Timer: n.timer, Meter: n.meter, OnSuspects: n.spreadSuspects,
+		Lapse: n.cfg.Settings.Worker.Heartbeat * missedHeartbeats, FixedLimit: n.decided(),
+	})
+	sender := zyegress.New(zyegress.Config{
+		Peers: &localPeers{self: n.id, receiver: n.receiver, remote: n.client}, Picker: n.picker, Roster: n.view, Door: door,
+		Budgets: zyattempt.NewBudgets(), Suspects: n.suspects, Meter: n.meter, Rules: n.book.Rules,
+		Place: n.cfg.Settings.Place, Links: n.links, Repeats: n.repeats(),
+	})
+	n.keepers = &keepers{
+		node: n.id, view: n.view, client: n.client, rules: n.book.Rules, ask: n.receiver.Ask,
+		memory: zyhome.Answerer{Grants: n.grants, Keeper: n.keeper},
+	}
+	n.home = zyhome.New(zyhome.Config{
+		Node: n.id, Domain: n.cfg.Settings.Place.Domain, Keeper: n.keeper, Sender: sender,
+		Rules: n.book.Rules, Elders: n.keepers, Moved: n.keepers, Roll: n.view,
+	})
+	n.keepers.home = n.home
+	n.entry = zyentry.New(zyentry.Config{
+		Rules: n.book.Rules, Parents: parents, Door: door, Sender: sender, Keepers: n.keepers.booker(),
+		Suspects: n.suspects, Shares: zyrank.NewShares(), Meter: n.meter,
+		Splits: zysplit.New(rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), splitSeed))),
+	})
+}
+
+const (
+	// missedHeartbeats is how many announcements in a row may be late. They come
+	// from the same host, and a worker that has ended is noticed by its
+	// connections.
+	missedHeartbeats = 8
+	// crashesInRow is after how many crashes a request counts as their cause where
+	// workers cannot be spared to run it alone.
+	crashesInRow = 3
+	splitSeed    = 2
+)
+
+// crashes returns how many crashes in a row quarantine a request, 0 to let
+// suspects run alone instead.
+func (n *Node) crashes() int {
+	if n.decided() {
+		return crashesInRow
+	}
+	return 0
+}
+
+// repeats returns the budget that all nodes share, nil where the settings set
+// none.
+func (n *Node) repeats() *zyattempt.Repeats {
+	r := n.cfg.Settings.Retry
+	if r.Window == 0 {
+		return nil
+	}
+	return zyattempt.NewRepeats(zyattempt.RepeatConfig{
+		Ratio: r.Ratio, Window: r.Window, Slack: r.Slack,
+		Nodes: func() int { return len(n.view.Others()) + 1 },
+	})
+}
+
+// announce takes in what the host's worker says.
+func (n *Node) announce(a zyingress.Announcement) error {
+	changed, err := n.receiver.Announce(a, n.cfg.Edges.Worker)
+	if err != nil {
+		return fmt.Errorf("worker: %w", err)
+	}
+	if changed {
+		n.updateSelf()
+	}
+	return nil
+}
+
+// updateSelf tells the others what has changed here.
+func (n *Node) updateSelf() {
+	u := n.self()
+	n.view.mu.Lock()
+	before := n.view.table.Revision()
+	n.view.table.Update(time.Now(), u)
+	changed := n.view.table.Revision() != before
+	n.view.mu.Unlock()
+	if !changed {
+		return
+	}
+	n.view.refresh()
+	if n.gossip != nil {
+		n.gossip.Flush()
+	}
+}
+
+func (n *Node) spreadSuspects(cases []zysuspect.Case) {
+	n.log.With("requests", len(cases)).Warn("The worker has crashed. The requests that it ran are suspected.")
+	n.view.mu.Lock()
+	for _, c := range cases {
+		n.view.table.Suspect(zymember.Change{Print: uint64(c.Print), Crashes: c.Crashes, Alone: c.Alone})
+	}
+	n.view.mu.Unlock()
+	n.gossip.Flush()
+}
+
+// onBundle puts the limits of a new bundle into force here.
+func (n *Node) onBundle() {
+	rules := n.book.Rules()
+	n.grants.SetWindow(rules.KeyWindow)
+	n.keeper.SetWindow(rules.KeyWindow)
+	n.view.mu.Lock()
+	n.view.table.SetVersion(rules.Version)
+	n.view.mu.Unlock()
+	n.log.With("version", rules.Version).Info("A bundle is in force.")
+}
--- a/io/zynode/rules.go
+++ b/io/zynode/rules.go
@@ -54,6 +54,23 @@
 	return b.take(func() (bool, error) { return b.state.AdoptPatch(p) })
 }
 
+// Put takes in a bundle that the platform has decided on and reports whether it
+// is newer than the one in force.
+func (b *ruleBook) Put(next *zybundle.Bundle) bool {
+	b.mu.Lock()
+	previous := b.current.Load()
+	if previous != nil && previous.Version >= next.Version {
+		b.mu.Unlock()
+		return false
+	}
+	b.previous = previous
+	b.since = time.Now()
+	b.current.Store(next)
+	b.mu.Unlock()
+	b.changed()
+	return true
+}
+
 // take changes the state and makes a new bundle visible.
 func (b *ruleBook) take(change func() (bool, error)) error {
 	b.mu.Lock()
--- a/io/zynode/spread.go
+++ b/io/zynode/spread.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"zinniayoke"
+	"zinniayoke/core/zybundle"
 	"zinniayoke/core/zytree"
 	"zinniayoke/io/zylogger"
 	"zinniayoke/io/zypeer"
@@ -20,6 +21,9 @@
 	view   *view
 	client *zypeer.Client
 	log    *zylogger.Part
+	// decode reads the text of a bundle that the platform has decided on, nil where
+	// the nodes agree themselves.
+	decode func(text []byte) (*zybundle.Bundle, error)
 
 	mu       sync.Mutex
 	fetching bool
@@ -69,8 +73,12 @@
 	if rules := s.book.Rules(); rules != nil {
 		reply.Hash = rules.Hash
 	}
-	if args.Want {
+	switch rules := s.book.Rules(); {
+	case !args.Want:
+	case s.decode == nil:
 		reply.Lineage, _ = s.book.Lineage("")
+	case rules != nil:
+		reply.Text = rules.Text
 	}
 	return reply
 }
@@ -118,6 +126,14 @@
 	if err != nil {
 		return err
 	}
+	if s.decode != nil && len(reply.Text) > 0 {
+		next, err := s.decode(reply.Text)
+		if err != nil {
+			return err
+		}
+		s.book.Put(next)
+		return nil
+	}
 	if len(reply.Lineage) == 0 {
 		return errNoBundle
 	}
--- a/io/zynode/stop.go
+++ b/io/zynode/stop.go
@@ -13,14 +13,15 @@
 // truthfully, finishes what is in flight and hands over what it remembers.
 func (n *Node) Stop(ctx context.Context) error {
 	n.log.Info("The node is stopping.")
-	ctx, cancel := context.WithTimeout(ctx, n.cfg.Settings.Shutdown.Grace)
+	ctx, cancel := context.WithTimeout(ctx, n.cfg.Settings.Shutdown.Grace*graceShare/10)
 	defer cancel()
 	for _, sub := range n.subs {
 		sub.Cancel()
 	}
 	n.leaving.Store(true)
 	n.updateSelf()
-	sleep(ctx, drainNotice)
+	n.receiver.Refuse()
+	sleep(ctx, max(drainNotice, n.cfg.Settings.Shutdown.Notice))
 	failures := []error{
 		n.https[0].Shutdown(ctx),
 		n.home.Drain(ctx),
@@ -32,6 +33,10 @@
 	return errors.Join(failures...)
 }
 
+// graceShare is the tenths of the grace after which the node ends what is left,
+// so that it is gone before it is killed.
+const graceShare = 8
+
 // handOver gives what this node remembers of keys to its heirs. Only then it
 // leaves the list as planned; else it is lost for those who ask for keys.
 func (n *Node) handOver(ctx context.Context) {
@@ -61,6 +66,9 @@
 }
 
 func (n *Node) close() {
+	if n.stopWatch != nil {
+		n.stopWatch()
+	}
 	for _, server := range n.https {
 		_ = server.Close()
 	}
--- a/io/zypeer/client.go
+++ b/io/zypeer/client.go
@@ -14,6 +14,7 @@
 	"zinniayoke"
 	"zinniayoke/core/zyhome"
 	"zinniayoke/core/zytimer"
+	"zinniayoke/io/zysocket"
 )
 
 // ClientConfig configures a Client.
@@ -84,12 +85,7 @@
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout}
-	conn, err := d.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, fmt.Errorf("dial: %w", err)
-	}
-	return conn, nil
+	return zysocket.Dial(ctx, address, dialTimeout)
 }
 
 // open dials and greets a peer.
--- a/io/zypeer/message.go
+++ b/io/zypeer/message.go
@@ -83,6 +83,8 @@
 	Version zinniayoke.Version  `codec:"v"`
 	Hash    zybundle.Hash       `codec:"h"`
 	Lineage zyagreement.Lineage `codec:"l"`
+	// Text is the bundle in force where the platform decides on it.
+	Text []byte `codec:"t"`
 }
 
 // Empty is a message without content.
--- a/io/zyweb/caller.go
+++ b/io/zyweb/caller.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"math"
@@ -147,6 +148,15 @@
 	Outcome zinniayoke.Outcome `json:"outcome"`
 }
 
+// FailureBody returns the JSON of a call without an answer.
+func FailureBody(reply *zinniayoke.Reply) []byte {
+	raw, err := json.Marshal(Failure{Error: FailureDetail{Type: reply.Reason, Message: reply.Detail, Outcome: reply.Outcome}})
+	if err != nil {
+		return []byte("{}") // The fields are two enums and a text, which always encode.
+	}
+	return raw
+}
+
 func refuse(c *gin.Context, err error) {
 	var e *zinniayoke.CallError
 	if !errors.As(err, &e) {
--- a/io/zyweb/upstream.go
+++ b/io/zyweb/upstream.go
@@ -69,6 +69,8 @@
 	State func() any
 	// SetLevel changes the log level.
 	SetLevel func(level string) error
+	// ReadyPath answers as /readyz does, "" for no other path.
+	ReadyPath string
 }
 
 // NewAdmin returns the handler of the admin port.
@@ -78,13 +80,17 @@
 	engine.Use(gin.Recovery())
 	engine.GET("/metrics", gin.WrapH(promhttp.HandlerFor(cfg.Registry, promhttp.HandlerOpts{})))
 	engine.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "alive\n") })
-	engine.GET("/readyz", func(c *gin.Context) {
+	ready := func(c *gin.Context) {
 		if err := cfg.Ready(); err != nil {
 			c.String(http.StatusServiceUnavailable, "%s\n", err)
 			return
 		}
 		c.String(http.StatusOK, "ready\n")
-	})
+	}
+	engine.GET("/readyz", ready)
+	if cfg.ReadyPath != "" {
+		engine.GET(cfg.ReadyPath, ready)
+	}
 	engine.GET("/debug/state", func(c *gin.Context) { c.IndentedJSON(http.StatusOK, cfg.State()) })
 	engine.PUT("/debug/level/:level", func(c *gin.Context) {
 		if err := cfg.SetLevel(c.Param("level")); err != nil {
--- a/message.go
+++ b/message.go
@@ -10,10 +10,12 @@
 
 // Call is a caller's request on its way through the filters of a node.
 type Call struct {
-	Request  RequestID
-	Caller   Caller
-	Service  Service
-	Method   string
+	Request RequestID
+	Caller  Caller
+	Service Service
+	Method  string
+	// Host is the host that the caller named, "" where the route is found without.
+	Host     string
 	Path     string
 	Query    string
 	Headers  []Header
@@ -42,6 +44,7 @@
 	Service  Service       `codec:"sv"`
 	Route    RouteName     `codec:"ro"`
 	Method   string        `codec:"me"`
+	Host     string        `codec:"ho"`
 	Path     string        `codec:"pa"`
 	Query    string        `codec:"qu"`
 	Headers  []Header      `codec:"he"`
@@ -117,6 +120,8 @@
 	Threshold Rank `codec:"th"`
 	// Load is the share of its concurrency limit that the worker uses, in percent.
 	Load int `codec:"lo"`
+	// Handed is true where the worker was given the attempt, also if it refused it.
+	Handed bool `codec:"hd"`
 }
 
 // AskReply tells what became of an attempt.
@@ -128,6 +133,8 @@
 // WorkerCall is a call as it is handed to the worker.
 type WorkerCall struct {
 	Attempt *Attempt
+	// Instance is the start of the worker that the call is for, "" for any.
+	Instance Instance
 	// Context is the handle that the worker returns with its child calls.
 	Context string
 	Left    time.Duration
--- a/platform.go
+++ b/platform.go
@@ -24,6 +24,15 @@
 	First(ctx context.Context, s Stream) (Offset, error)
 }
 
+// Meeting is where nodes leave the addresses of their peer ports for nodes that
+// start later.
+type Meeting interface {
+	// Announce leaves this node's address.
+	Announce(ctx context.Context, id NodeID, peer string) error
+	// Find returns addresses of nodes, the newest first. Some may be gone.
+	Find(ctx context.Context) ([]string, error)
+}
+
 // Worker is the program on the node's own host that does the work.
 type Worker interface {
 	// Run hands the call to the worker and returns its whole answer.
