zynode: look at the meeting place again, log decisions, reload on SIGHUP

Processes ended at SIGHUP. Change: a node looks at the meeting place after 1, 2, 4, 8 s and then every 10 s and meets the addresses at which it knows nobody. Child calls find their parent by the deadline they share.

--- a/cmd/zinniayoke/node.go
+++ b/cmd/zinniayoke/node.go
@@ -1,12 +1,17 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
+	"time"
 
 	"github.com/urfave/cli/v3"
+	"go.uber.org/fx"
 
 	"zinniayoke/core/zysettings"
 	"zinniayoke/io/zynode"
@@ -43,13 +48,14 @@
 	if settings.Memory > 0 {
 		debug.SetMemoryLimit(int64(settings.Memory) * heapShare / percent)
 	}
-	app := zynode.App(cfg)
+	var node *zynode.Node
+	app := zynode.App(cfg, fx.Populate(&node))
 	startCtx, cancel := context.WithTimeout(context.Background(), app.StartTimeout())
 	defer cancel()
 	if err := app.Start(startCtx); err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
-	<-ctx.Done()
+	follow(ctx, c.String("settings"), node)
 	stopCtx, cancelStop := context.WithTimeout(context.Background(), app.StopTimeout())
 	defer cancelStop()
 	if err := app.Stop(stopCtx); err != nil {
@@ -58,6 +64,41 @@
 	return nil
 }
 
+// rereadPeriod is how often the settings are looked at where no signal says that
+// they have changed.
+const rereadPeriod = 2 * time.Second
+
+// follow reloads the settings when they change, until ctx is done.
+func follow(ctx context.Context, file string, node *zynode.Node) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	ticker := time.NewTicker(rereadPeriod)
+	defer ticker.Stop()
+	last, lastErr := os.ReadFile(file)
+	for {
+		told := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+			told = true
+		case <-ticker.C:
+		}
+		text, err := os.ReadFile(file)
+		if !told && bytes.Equal(text, last) && (err == nil) == (lastErr == nil) {
+			continue
+		}
+		last, lastErr = text, err
+		settings, err := readSettings(file)
+		if err != nil {
+			node.Problem("The settings cannot be read. Those in force stay.", err)
+			continue
+		}
+		node.Reload(settings)
+	}
+}
+
 func readSettings(file string) (*zysettings.Settings, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
--- a/core/zyattempt/repeats.go
+++ b/core/zyattempt/repeats.go
@@ -49,6 +49,13 @@
 	return &Repeats{cfg: cfg, start: time.Now(), by: make(map[zinniayoke.Service]*counts)}
 }
 
+// SetLimits changes the ratio and the slack.
+func (r *Repeats) SetLimits(ratio, slack float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cfg.Ratio, r.cfg.Slack = ratio, slack
+}
+
 // First notes the first send of a call to the service.
 func (r *Repeats) First(now time.Time, s zinniayoke.Service) {
 	r.mu.Lock()
--- a/core/zyegress/sender.go
+++ b/core/zyegress/sender.go
@@ -36,6 +36,8 @@
 	// is set, it takes the place of Budgets, and attempts count only those sends
 	// that a worker was handed.
 	Repeats *zyattempt.Repeats
+	// Journal takes the end of each attempt; nil means none.
+	Journal zinniayoke.Journal
 	// NewID returns a fresh attempt id; nil means random ones.
 	NewID func() zinniayoke.AttemptID
 }
@@ -62,6 +64,9 @@
 	if cfg.NewID == nil {
 		cfg.NewID = func() zinniayoke.AttemptID { return zinniayoke.AttemptID(uuid.NewString()) }
 	}
+	if cfg.Journal == nil {
+		cfg.Journal = zinniayoke.NoJournal{}
+	}
 	return &Sender{cfg: cfg}
 }
 
@@ -86,6 +91,8 @@
 	last *zinniayoke.Reply
 	// handed is true once an attempt may have reached a worker.
 	handed bool
+	// to is the node of the last send.
+	to zinniayoke.NodeID
 	// refused counts the sends that no worker was handed.
 	refused int
 	// suspected is true for a request that has one upstream to run at.
@@ -99,7 +106,13 @@
 	for {
 		reply := s.once(ctx, f)
 		f.note(reply)
-		if reply.Outcome == zinniayoke.OutcomeDone || !s.mayRetry(ctx, f, reply) {
+		again := reply.Outcome != zinniayoke.OutcomeDone && s.mayRetry(ctx, f, reply)
+		s.cfg.Journal.Note(&zinniayoke.Event{
+			Kind: zinniayoke.EventAttemptEnded, Request: f.Call.Request, Attempt: reply.Attempt, Route: f.Call.Route,
+			Service: f.Call.Service, Node: f.to, Reason: reply.Reason, Outcome: reply.Outcome, Threshold: reply.Threshold,
+			Left: time.Until(f.Call.Deadline), Again: again, Detail: reply.Detail,
+		})
+		if !again {
 			return f.verdict()
 		}
 	}
@@ -179,6 +192,7 @@
 	if refusal != nil {
 		return refused(f.Call, refusal)
 	}
+	f.to = to.Node
 	if !s.payLink(f.Call, to) {
 		return refused(f.Call, zinniayoke.Refuse(zinniayoke.ReasonLinkBudget, "the link to "+string(to.Place.Region)+" is full"))
 	}
--- a/core/zyentry/entry.go
+++ b/core/zyentry/entry.go
@@ -26,6 +26,9 @@
 	Key     string
 	// Context is the handle of the parent's call, "" for root requests.
 	Context string
+	// Arrived is when the call came in, with Timeout the moment by which a parent
+	// is found that gave no handle. The zero value looks for none.
+	Arrived time.Time
 	// Timeout is what the caller allows, 0 for the route's own.
 	Timeout time.Duration
 	Service zinniayoke.Service
@@ -67,6 +70,11 @@
 	Suspects *zysuspect.Book
 	Shares   *zyrank.Shares
 	Meter    zinniayoke.Meter
+	// Journal takes the end of each call; nil means none.
+	Journal zinniayoke.Journal
+	// Kin tells routes that workers call from those that callers call; nil where
+	// handles tell.
+	Kin *zyparent.Kin
 	// Splits chooses the service of split routes; nil where no route is split.
 	Splits *zysplit.Chooser
 	// NewID returns a fresh request id; nil means random ones.
@@ -88,8 +96,12 @@
 	caller zybundle.Caller
 	route  *zybundle.Route
 	parent *zyparent.Parent
-	call   *zinniayoke.Call
-	pool   *zyattempt.Pool
+	// kin is true for a call of a worker that gave no handle.
+	kin  bool
+	call *zinniayoke.Call
+	pool *zyattempt.Pool
+	// threshold is the one that the call was shed by.
+	threshold zinniayoke.Rank
 	// granted is how many attempts the call was given.
 	granted zinniayoke.Tokens
 }
@@ -99,6 +111,9 @@
 	if cfg.NewID == nil {
 		cfg.NewID = newRequestID
 	}
+	if cfg.Journal == nil {
+		cfg.Journal = zinniayoke.NoJournal{}
+	}
 	e := &Entry{cfg: cfg}
 	e.handle = zinniayoke.Pipe(e.send,
 		e.identify, e.findRoute, e.setDeadline, e.limitCaller, e.setKey, e.refuseQuarantined, e.shed, e.takeAttempts)
@@ -119,7 +134,9 @@
 		told.Outcome = zinniayoke.OutcomeUnknown
 		reply = &told
 	}
-	e.cfg.Meter.Call(sampleOf(j, reply, time.Since(start)))
+	took := time.Since(start)
+	e.cfg.Meter.Call(sampleOf(j, reply, took))
+	e.note(j, reply, took)
 	result := &Result{Reply: reply, Request: j.call.Request}
 	if j.pool != nil {
 		result.Attempts = j.granted - j.pool.Left()
@@ -127,6 +144,21 @@
 	return result
 }
 
+func (e *Entry) note(j *job, reply *zinniayoke.Reply, took time.Duration) {
+	event := &zinniayoke.Event{
+		Kind: zinniayoke.EventCallEnded, Request: j.call.Request, Route: j.call.Route, Service: j.call.Service,
+		Reason: reply.Reason, Outcome: reply.Outcome, Version: j.call.Version, Rank: j.call.Rank, Depth: j.call.Depth,
+		Threshold: j.threshold, Took: took, Detail: reply.Detail,
+	}
+	if reply.Answer != nil {
+		event.Status = reply.Answer.Status
+	}
+	if !j.call.Deadline.IsZero() {
+		event.Left = time.Until(j.call.Deadline)
+	}
+	e.cfg.Journal.Note(event)
+}
+
 func sampleOf(j *job, reply *zinniayoke.Reply, took time.Duration) zinniayoke.CallSample {
 	s := zinniayoke.CallSample{
 		Caller: j.call.Caller, Outcome: reply.Outcome, Reason: reply.Reason, Took: took, Child: j.parent != nil,
--- a/core/zyentry/filter.go
+++ b/core/zyentry/filter.go
@@ -96,10 +96,33 @@
 			return nil, zinniayoke.Refuse(zinniayoke.ReasonTooLarge, fmt.Sprintf("the route takes at most %d bytes", route.MaxBody))
 		}
 		e.fill(j)
+		if e.cfg.Kin != nil && !j.in.Arrived.IsZero() {
+			e.adoptByDeadline(j)
+			if j.parent != nil {
+				j.parent.StartChild(time.Now())
+				defer e.endChild(j)
+			}
+		}
 		return next(ctx, j)
 	}
 }
 
+// adoptByDeadline makes the call a part of the running call that has the same
+// deadline, if the route is one that workers call. The call keeps its own id and
+// attempts.
+func (e *Entry) adoptByDeadline(j *job) {
+	parent, ok := e.cfg.Parents.Match(j.in.Arrived.Add(j.in.Timeout))
+	if !e.cfg.Kin.Judge(j.route.Name, ok) {
+		return
+	}
+	j.kin = true
+	if ok {
+		j.parent = parent
+		j.call.Rank = parent.Rank
+		j.call.Depth = parent.Depth + 1
+	}
+}
+
 // routeOf finds the route by the service that the caller names, or by host and
 // path, and sets the service of the call.
 func (e *Entry) routeOf(j *job) (*zybundle.Route, error) {
@@ -156,7 +179,7 @@
 // limitCaller holds a caller to its own rate.
 func (e *Entry) limitCaller(next step) step {
 	return func(ctx context.Context, j *job) (*zinniayoke.Reply, error) {
-		if j.parent != nil || j.caller.Rate <= 0 {
+		if j.parent != nil || j.kin || j.caller.Rate <= 0 {
 			return next(ctx, j)
 		}
 		if wait := e.limits.take(time.Now(), j.caller); wait > 0 {
@@ -180,6 +203,7 @@
 		}
 		c := j.call
 		switch {
+		case j.kin:
 		case j.parent != nil:
 			c.Key = childKey(j)
 			c.OwnKey = true
@@ -224,7 +248,9 @@
 // decides, where work already paid for goes first.
 func (e *Entry) shed(next step) step {
 	return func(ctx context.Context, j *job) (*zinniayoke.Reply, error) {
-		if j.parent == nil && !e.cfg.Door.Admit(time.Now(), j.route.Name, j.call.Rank) {
+		now := time.Now()
+		if j.parent == nil && !j.kin && !e.cfg.Door.Admit(now, j.route.Name, j.call.Rank) {
+			j.threshold = e.cfg.Door.Threshold(now, j.route.Name)
 			refusal := zinniayoke.Refuse(zinniayoke.ReasonShed, "more important requests fill the service")
 			refusal.RetryAfter = retryAfter(j.call)
 			return nil, refusal
@@ -244,7 +270,7 @@
 func (e *Entry) takeAttempts(next step) step {
 	return func(ctx context.Context, j *job) (*zinniayoke.Reply, error) {
 		need := 1 + j.route.Calls
-		if j.parent == nil {
+		if j.parent == nil || j.kin {
 			j.granted = j.route.Attempts
 			j.pool = zyattempt.NewPool(j.granted, need)
 			j.call.Tokens = j.granted
--- a/core/zyingress/receiver.go
+++ b/core/zyingress/receiver.go
@@ -32,6 +32,8 @@
 	Meter    zinniayoke.Meter
 	// OnSuspects is called with the requests that were in flight at a crash.
 	OnSuspects func(cases []zysuspect.Case)
+	// Journal takes what is decided about each attempt; nil means none.
+	Journal zinniayoke.Journal
 	// Lapse is how long an announcement holds; 0 means 3 s.
 	Lapse time.Duration
 	// FixedLimit keeps the concurrency limit at the announced slots.
@@ -81,6 +83,9 @@
 
 // New returns a receiver that has no worker yet.
 func New(cfg Config) *Receiver {
+	if cfg.Journal == nil {
+		cfg.Journal = zinniayoke.NoJournal{}
+	}
 	if cfg.Lapse == 0 {
 		cfg.Lapse = announceLapse
 	}
@@ -108,17 +113,42 @@
 		decided: make(chan zinniayoke.Reason, 1),
 	}
 	worker, err := r.admit(ctx, c)
-	if err != nil {
-		return r.refuse(a, err)
+	if err == nil {
+		err = r.await(ctx, c)
 	}
-	if err := r.await(ctx, c); err != nil {
-		return r.refuse(a, err)
+	if err != nil {
+		reply := r.refuse(a, err)
+		r.note(zinniayoke.EventAttemptRefused, c, reply)
+		return reply
 	}
 	reply := r.hand(ctx, c, worker)
 	r.leave(c)
+	r.note(zinniayoke.EventAttemptRun, c, reply)
 	return reply
 }
 
+func (r *Receiver) note(kind zinniayoke.EventKind, c *run, reply *zinniayoke.Reply) {
+	a := c.attempt
+	e := &zinniayoke.Event{
+		Kind: kind, Request: a.Request, Attempt: a.ID, Route: a.Route, Service: a.Service,
+		Reason: reply.Reason, Outcome: reply.Outcome, Rank: a.Rank, Threshold: reply.Threshold, Depth: a.Depth,
+		Left: a.Left - time.Since(c.arrived), Took: time.Since(c.arrived), Detail: reply.Detail,
+	}
+	if reply.Answer != nil {
+		e.Status = reply.Answer.Status
+	}
+	r.mu.Lock()
+	e.Instance = r.told.Instance
+	if r.gate != nil {
+		e.Limit, e.Running, e.Waiting = r.gate.Limit(), r.gate.Running(), r.gate.Waiting()
+	}
+	if c.running {
+		e.Waited = c.started.Sub(c.arrived)
+	}
+	r.mu.Unlock()
+	r.cfg.Journal.Note(e)
+}
+
 // admit brings the attempt to the gate.
 func (r *Receiver) admit(ctx context.Context, c *run) (zinniayoke.Worker, error) {
 	now := time.Now()
--- a/core/zyparent/table.go
+++ b/core/zyparent/table.go
@@ -65,6 +65,26 @@
 	return p, ok
 }
 
+// matchTolerance is what two tellings of one deadline may differ by: each is
+// rounded down to a millisecond, and the call is on its way in between.
+const matchTolerance = 3 * time.Millisecond
+
+// Match returns the running call whose deadline is the nearest to the given
+// one, where workers pass their call's deadline on but no handle. It returns
+// false where none is near enough.
+func (t *Table) Match(deadline time.Time) (*Parent, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var best *Parent
+	nearest := matchTolerance
+	for _, p := range t.parents {
+		if d := p.Deadline.Sub(deadline).Abs(); d <= nearest {
+			best, nearest = p, d
+		}
+	}
+	return best, best != nil
+}
+
 // Close removes a parent.
 func (t *Table) Close(handle string) {
 	t.mu.Lock()
--- a/io/zynode/join.go
+++ b/io/zynode/join.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"zinniayoke"
@@ -11,44 +13,42 @@
 	"zinniayoke/io/zypeer"
 )
 
-// join takes over the member list and the bundle of a node that is there
-// already, found by the seeds of the settings or the member stream of the log.
+const (
+	// mostTried bounds the unknown addresses that are tried at once; some are those
+	// of hosts that are gone.
+	mostTried = 8
+	// Nodes that start together may meet in groups that do not know each other, so
+	// the meeting place is looked at again, ever less often.
+	firstRejoin = 1 * time.Second
+	lastRejoin  = 10 * time.Second
+	// readsPerSecond is what all nodes together read of the meeting place in the
+	// long run, a thousandth of what the store allows.
+	readsPerSecond = 2
+)
+
+// join takes over the member list and the bundle of nodes that are there
+// already, found by the seeds of the settings or at the meeting place.
 func (n *Node) join() {
 	if !n.joining.TryLock() {
 		return
 	}
 	defer n.joining.Unlock()
-	own := n.peer
-	seeds := slices.DeleteFunc(slices.Clone(n.cfg.Settings.Seeds), func(a string) bool { return a == own })
 	ctx, cancel := context.WithTimeout(context.Background(), meetingTimeout)
 	defer cancel()
-	if err := n.meeting.Announce(ctx, n.id, own); err != nil {
-		n.log.With("error", err).Warn("The node could not leave its address at the meeting place.")
+	if !n.announced {
+		err := n.meeting.Announce(ctx, n.id, n.peer)
+		n.announced = err == nil
+		if err != nil {
+			n.log.With("error", err).Warn("The node could not leave its address at the meeting place.")
+		}
 	}
-	recent, err := n.meeting.Find(ctx)
+	found, err := n.meeting.Find(ctx)
 	if err != nil {
 		n.log.With("error", err).Warn("The meeting place cannot be read.")
 	}
-	const mostTried, mostJoined = 8, 3
-	tried, met := 0, 0
-	for _, address := range append(seeds, recent...) {
-		if address == own || tried >= mostTried {
-			continue
-		}
-		tried++
-		if n.syncWith(address) {
-			n.joined.Store(true)
-			met++
-			if err := n.spread.Fetch(address); err != nil {
-				n.log.With("error", err).With("peer", address).Debug("No bundle was taken over.")
-			}
-		}
-		if met >= mostJoined {
-			break
-		}
-	}
-	if tried == 0 && err == nil {
-		// Nobody else is known: this is the first node of all.
+	unknown := n.unknownOf(append(slices.Clone(n.cfg.Settings.Seeds), found...))
+	met := n.meet(unknown)
+	if met > 0 || len(unknown) == 0 && err == nil {
 		n.joined.Store(true)
 	}
 	if n.decided() {
@@ -59,6 +59,59 @@
 	}
 }
 
+// unknownOf returns the addresses at which no member is known to be.
+func (n *Node) unknownOf(addresses []string) []string {
+	known := map[string]bool{n.peer: true}
+	for _, a := range n.view.Others() {
+		known[a] = true
+	}
+	var unknown []string
+	for _, a := range addresses {
+		if !known[a] {
+			known[a] = true
+			unknown = append(unknown, a)
+		}
+	}
+	return unknown
+}
+
+// meet compares member lists with the nodes at some of the addresses, all at
+// once, and returns how many answered.
+func (n *Node) meet(addresses []string) int {
+	var met atomic.Int64
+	var all sync.WaitGroup
+	for _, address := range addresses[:min(len(addresses), mostTried)] {
+		all.Go(func() {
+			if !n.syncWith(address) {
+				return
+			}
+			met.Add(1)
+			if n.book.Rules() != nil {
+				return
+			}
+			if err := n.spread.Fetch(address); err != nil {
+				n.log.With("error", err).With("peer", address).Debug("No bundle was taken over.")
+			}
+		})
+	}
+	all.Wait()
+	return int(met.Load())
+}
+
+// rejoin looks at the meeting place again where that is due.
+func (n *Node) rejoin(now time.Time) {
+	if now.Before(n.rejoinAt) {
+		return
+	}
+	if n.rejoinPause == 0 || !n.joined.Load() {
+		n.rejoinPause = firstRejoin
+	}
+	longest := max(lastRejoin, time.Duration(len(n.view.Others()))*time.Second/readsPerSecond)
+	n.rejoinAt = now.Add(n.rejoinPause)
+	n.rejoinPause = min(n.rejoinPause*2, longest)
+	n.join()
+}
+
 // syncWith compares member lists with one node, in both directions.
 func (n *Node) syncWith(address string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), joinTimeout)
--- a/io/zynode/node.go
+++ b/io/zynode/node.go
@@ -18,6 +18,7 @@
 
 	"zinniayoke"
 	"zinniayoke/core/zyagreement"
+	"zinniayoke/core/zyattempt"
 	"zinniayoke/core/zyclaim"
 	"zinniayoke/core/zyentry"
 	"zinniayoke/core/zyfence"
@@ -70,6 +71,8 @@
 	id       zinniayoke.NodeID
 	logger   *zylogger.Logger
 	log      *zylogger.Part
+	lines    *zylogger.Writer
+	journal  *zylogger.Journal
 	timer    *zytimer.Service
 	book     *ruleBook
 	view     *view
@@ -96,12 +99,19 @@
 	subs     []*zytimer.Subscription
 	ports    ports
 	// joined is true once another node has answered, or none is known.
-	joined    atomic.Bool
-	joining   sync.Mutex
-	stopWatch context.CancelFunc
-	storeLost atomic.Bool
-	leaving   atomic.Bool
-	since     time.Time
+	joined  atomic.Bool
+	joining sync.Mutex
+	// announced is guarded by joining.
+	announced   bool
+	rejoinAt    time.Time
+	rejoinPause time.Duration
+	stopWatch   context.CancelFunc
+	storeLost   atomic.Bool
+	// settings are the ones that were read last.
+	settings atomic.Pointer[zysettings.Settings]
+	retries  *zyattempt.Repeats
+	leaving  atomic.Bool
+	since    time.Time
 	// peer is the address of the peer port, also for membership packets.
 	peer string
 }
@@ -136,14 +146,16 @@
 	if cfg.Period == 0 {
 		cfg.Period = usualPeriod
 	}
+	lines := zylogger.NewWriter(cfg.Output)
 	logger, err := zylogger.New(zylogger.Config{
-		Output: cfg.Output, Level: cfg.Settings.Logging.Level, Format: cfg.Settings.Logging.Format,
+		Output: lines, Level: cfg.Settings.Logging.Level, Format: cfg.Settings.Logging.Format,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("node: %w", err)
 	}
-	n := &Node{cfg: cfg, logger: logger, log: logger.Part("node"), since: time.Now()}
+	n := &Node{cfg: cfg, lines: lines, journal: zylogger.NewJournal(lines, lines.Dropped), logger: logger, log: logger.Part("node"), since: time.Now()}
 	n.id = zinniayoke.NodeID(fmt.Sprintf("%s/%016x", cfg.Settings.Host, time.Now().UnixNano()))
+	n.settings.Store(cfg.Settings)
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
@@ -305,9 +317,7 @@
 	n.keeper.Sweep(now)
 	n.picker.Sweep(now)
 	n.updateSelf()
-	if !n.joined.Load() {
-		n.join()
-	}
+	n.rejoin(now)
 }
 
 // Addresses returns the addresses of the node's ports.
--- a/io/zynode/path.go
+++ b/io/zynode/path.go
@@ -28,6 +28,7 @@
 
 func (n *Node) makeView() {
 	n.view = newView(n.id, n.book.Rules)
+	n.view.journal = n.journal
 	seed := uint64(time.Now().UnixNano())
 	n.suspects = zysuspect.New(zysuspect.Config{Most: mostSuspects, Crashes: n.crashes()})
 	n.view.table = zymember.NewTable(time.Now(), zymember.Config{
@@ -74,11 +75,13 @@
 		Node: n.id, Rules: n.book.Rules, Fence: n.fence, Grants: n.grants, Suspects: n.suspects,
 		Parents: parents, Timer: n.timer, Meter: n.meter, OnSuspects: n.spreadSuspects,
 		Lapse: n.cfg.Settings.Worker.Heartbeat * missedHeartbeats, FixedLimit: n.decided(),
+		Journal: n.journal,
 	})
+	n.retries = n.repeats()
 	sender := zyegress.New(zyegress.Config{
 		Peers: &localPeers{self: n.id, receiver: n.receiver, remote: n.client}, Picker: n.picker, Roster: n.view, Door: door,
 		Budgets: zyattempt.NewBudgets(), Suspects: n.suspects, Meter: n.meter, Rules: n.book.Rules,
-		Place: n.cfg.Settings.Place, Links: n.links, Repeats: n.repeats(),
+		Place: n.cfg.Settings.Place, Links: n.links, Repeats: n.retries, Journal: n.journal,
 	})
 	n.keepers = &keepers{
 		node: n.id, view: n.view, client: n.client, rules: n.book.Rules, ask: n.receiver.Ask,
@@ -92,6 +95,7 @@
 	n.entry = zyentry.New(zyentry.Config{
 		Rules: n.book.Rules, Parents: parents, Door: door, Sender: sender, Keepers: n.keepers.booker(),
 		Suspects: n.suspects, Shares: zyrank.NewShares(), Meter: n.meter,
+		Journal: n.journal, Kin: n.kin(),
 		Splits: zysplit.New(rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), splitSeed))),
 	})
 }
@@ -116,6 +120,15 @@
 	return 0
 }
 
+// kin returns what finds parents by their deadlines, nil where workers return
+// the handles of their calls.
+func (n *Node) kin() *zyparent.Kin {
+	if n.decided() {
+		return zyparent.NewKin()
+	}
+	return nil
+}
+
 // repeats returns the budget that all nodes share, nil where the settings set
 // none.
 func (n *Node) repeats() *zyattempt.Repeats {
--- a/io/zynode/stop.go
+++ b/io/zynode/stop.go
@@ -13,7 +13,7 @@
 // truthfully, finishes what is in flight and hands over what it remembers.
 func (n *Node) Stop(ctx context.Context) error {
 	n.log.Info("The node is stopping.")
-	ctx, cancel := context.WithTimeout(ctx, n.cfg.Settings.Shutdown.Grace*graceShare/10)
+	ctx, cancel := context.WithTimeout(ctx, n.settings.Load().Shutdown.Grace*graceShare/10)
 	defer cancel()
 	for _, sub := range n.subs {
 		sub.Cancel()
@@ -21,15 +21,15 @@
 	n.leaving.Store(true)
 	n.updateSelf()
 	n.receiver.Refuse()
-	sleep(ctx, max(drainNotice, n.cfg.Settings.Shutdown.Notice))
+	sleep(ctx, max(drainNotice, n.settings.Load().Shutdown.Notice))
 	failures := []error{
 		n.https[0].Shutdown(ctx),
 		n.home.Drain(ctx),
 		n.receiver.Drain(ctx),
 	}
 	n.handOver(ctx)
-	n.close()
 	n.log.Info("The node has stopped.")
+	n.close()
 	return errors.Join(failures...)
 }
 
@@ -77,6 +77,7 @@
 	n.client.Close()
 	n.receiver.Close()
 	n.timer.Stop()
+	n.lines.Close()
 }
 
 // Abort ends the node as a crash does: without a word to the others, and with
--- a/io/zynode/view.go
+++ b/io/zynode/view.go
@@ -1,6 +1,7 @@
 package zynode
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -17,6 +18,8 @@
 	self  zinniayoke.NodeID
 	rules func() *zybundle.Bundle
 
+	journal zinniayoke.Journal
+
 	mu    sync.Mutex
 	table *zymember.Table
 
@@ -36,7 +39,7 @@
 }
 
 func newView(self zinniayoke.NodeID, rules func() *zybundle.Bundle) *view {
-	v := &view{self: self, rules: rules}
+	v := &view{self: self, rules: rules, journal: zinniayoke.NoJournal{}}
 	v.current.Store(&snapshot{})
 	return v
 }
@@ -64,7 +67,22 @@
 		s.add(m)
 	}
 	s.count()
-	v.current.Store(s)
+	v.noteChanges(v.current.Swap(s), s)
+}
+
+// noteChanges writes down what is believed otherwise of each member than before.
+func (v *view) noteChanges(before, after *snapshot) {
+	for _, m := range after.members {
+		old, known := before.byNode[m.Upstream.Node]
+		if known && old.Status == m.Status && old.Upstream == m.Upstream {
+			continue
+		}
+		u := m.Upstream
+		v.journal.Note(&zinniayoke.Event{
+			Kind: zinniayoke.EventMember, Node: u.Node, Service: u.Service, Version: zinniayoke.Version(m.Counter),
+			Detail: fmt.Sprintf("%s, worker %s, leaving %t, peer %s", m.Status, u.State, u.Leaving, u.Peer),
+		})
+	}
 }
 
 func (s *snapshot) add(m zymember.Member) {
--- /dev/null
+++ b/journal.go
@@ -0,0 +1,72 @@
+package zinniayoke
+
+import "time"
+
+// EventKind says what an Event tells. The zero value is EventCallEnded.
+type EventKind int
+
+// The kinds of events.
+const (
+	// EventCallEnded is the end of a call at its entry.
+	EventCallEnded EventKind = iota
+	// EventAttemptEnded is what the sender learned of one attempt, and whether it
+	// sends another one.
+	EventAttemptEnded
+	// EventAttemptRefused is an attempt that the node of the worker did not hand over.
+	EventAttemptRefused
+	// EventAttemptRun is an attempt that the worker was handed.
+	EventAttemptRun
+	// EventMember is a change of what is believed of a node.
+	EventMember
+	// EventWorker is a change of what is believed of the host's own worker.
+	EventWorker
+	// EventBundle is a bundle that came into force.
+	EventBundle
+	// EventSuspects are requests in flight at a crash of the worker.
+	EventSuspects
+)
+
+// Event is one decision that touches a call, or one change of what a node
+// believes. Fields that do not apply are zero and are not written.
+type Event struct {
+	Kind    EventKind
+	Request RequestID
+	Attempt AttemptID
+	Route   RouteName
+	Service Service
+	// Node is the other node that the event concerns.
+	Node     NodeID
+	Instance Instance
+	Reason   Reason
+	Outcome  Outcome
+	Version  Version
+	Rank     Rank
+	// Threshold is the lowest rank that was admitted.
+	Threshold Rank
+	// Depth is 0 for a root request.
+	Depth  int
+	Status int
+	// Left is the time to the deadline when the decision was made.
+	Left   time.Duration
+	Waited time.Duration
+	Took   time.Duration
+	// Limit, Running and Waiting describe the gate of the worker.
+	Limit   int
+	Running int
+	Waiting int
+	// Again is true where another attempt follows.
+	Again  bool
+	Detail string
+}
+
+// Journal writes events down. Implementations must be safe for use by several
+// goroutines and must never block.
+type Journal interface {
+	Note(e *Event)
+}
+
+// NoJournal is a Journal that writes nothing.
+type NoJournal struct{}
+
+// Note does nothing.
+func (NoJournal) Note(*Event) {}
