zypressure, zygraph: shed at the entry what deeper services have no room for

Change: nodes learn which routes workers call (by the callers' services), from which runs (by shared deadlines) and what each costs; replies carry the burden on each service with the share that it has no room for; the entry refuses that share of the burden, least important routes first. Workers' calls go before root calls.

--- a/core/zyadmission/gate.go
+++ b/core/zyadmission/gate.go
@@ -17,6 +17,8 @@
 	Rank     zinniayoke.Rank
 	Depth    int
 	Deadline time.Time
+	// Patience is how long the item may wait, 0 for as long as all may.
+	Patience time.Duration
 	arrived  time.Time
 	started  time.Time
 	sequence uint64
@@ -182,8 +184,8 @@
 	var late []Item
 	bar := zinniayoke.Rank(0)
 	g.queue.Ascend(func(item Item) bool {
-		waited := now.Sub(item.arrived) > longestWait
-		if waited {
+		waited := now.Sub(item.arrived) > item.patience()
+		if waited && item.Patience == 0 {
 			bar = max(bar, zyrank.ClassFloor(item.Rank))
 		}
 		if waited || g.hopeless(now, item) || item.Rank < bar {
@@ -200,6 +202,13 @@
 	return res
 }
 
+func (i Item) patience() time.Duration {
+	if i.Patience > 0 {
+		return i.Patience
+	}
+	return longestWait
+}
+
 func (g *Gate) refuseLate(now time.Time, item Item, res *Result) {
 	g.Leave(item.ID)
 	reason := zinniayoke.ReasonShed
--- a/core/zybundle/compose.go
+++ b/core/zybundle/compose.go
@@ -66,6 +66,10 @@
 	return b, nil
 }
 
+// highestRootImportance leaves the upper half of the scale to the calls that
+// workers make.
+const highestRootImportance = highestImportance / 2
+
 func (b *Bundle) addComposed(p PrefixRoute) error {
 	r := p.Route
 	part := "route " + string(r.Name)
@@ -80,7 +84,7 @@
 			return &CompositionError{Part: part, Found: fmt.Sprintf("weight %g of service %q", s.Weight, s.Service), Accepted: "services with weights of 0 or more"}
 		}
 	}
-	importance := max(highestImportance-max(p.Priority, 0), 0)
+	importance := max(highestRootImportance-max(p.Priority, 0), 0)
 	r.Class = Class{Name: zinniayoke.ClassName(fmt.Sprintf("priority%d", p.Priority)), Importance: importance}
 	b.Classes[r.Class.Name] = r.Class
 	if r.MaxBody = b.Limits.Body; r.MaxBody == 0 {
--- a/core/zyegress/sender.go
+++ b/core/zyegress/sender.go
@@ -36,6 +36,8 @@
 	// is set, it takes the place of Budgets, and attempts count only those sends
 	// that a worker was handed.
 	Repeats *zyattempt.Repeats
+	// Learn takes what came with a reply to a call of the route; nil means nothing.
+	Learn func(now time.Time, route zinniayoke.RouteName, r *zinniayoke.Reply)
 	// Journal takes the end of each attempt; nil means none.
 	Journal zinniayoke.Journal
 	// NewID returns a fresh attempt id; nil means random ones.
@@ -265,7 +267,7 @@
 		ID: s.cfg.NewID(), Request: c.Request, Caller: c.Caller, Service: c.Service, Route: c.Route,
 		Method: c.Method, Host: c.Host, Path: c.Path, Query: c.Query, Headers: c.Headers, Body: c.Body,
 		BodyHash: c.BodyHash, Key: c.Key, Grant: f.Grant, Rank: c.Rank, Left: time.Until(c.Deadline),
-		Tokens: share, Depth: c.Depth, Version: c.Version,
+		Tokens: share, Depth: c.Depth, Version: c.Version, Patience: c.Patience,
 	}
 }
 
@@ -281,6 +283,9 @@
 	if err == nil {
 		s.cfg.Picker.Replied(time.Now(), to.Node, time.Since(start), reply)
 		s.cfg.Door.Learn(time.Now(), a.Route, to.Node, reply.Threshold)
+		if s.cfg.Learn != nil {
+			s.cfg.Learn(time.Now(), a.Route, reply)
+		}
 		return reply
 	}
 	if ctx.Err() != nil {
--- a/core/zyentry/entry.go
+++ b/core/zyentry/entry.go
@@ -13,7 +13,9 @@
 	"zinniayoke/core/zybundle"
 	"zinniayoke/core/zydoor"
 	"zinniayoke/core/zyegress"
+	"zinniayoke/core/zygraph"
 	"zinniayoke/core/zyparent"
+	"zinniayoke/core/zypressure"
 	"zinniayoke/core/zyrank"
 	"zinniayoke/core/zysplit"
 	"zinniayoke/core/zysuspect"
@@ -72,9 +74,11 @@
 	Meter    zinniayoke.Meter
 	// Journal takes the end of each call; nil means none.
 	Journal zinniayoke.Journal
-	// Kin tells routes that workers call from those that callers call; nil where
+	// Graph tells routes that workers call from those that callers call; nil where
 	// handles tell.
-	Kin *zyparent.Kin
+	Graph *zygraph.Graph
+	// Pressure sheds at the door where Graph is set.
+	Pressure *zypressure.Door
 	// Splits chooses the service of split routes; nil where no route is split.
 	Splits *zysplit.Chooser
 	// NewID returns a fresh request id; nil means random ones.
@@ -102,6 +106,8 @@
 	pool *zyattempt.Pool
 	// threshold is the one that the call was shed by.
 	threshold zinniayoke.Rank
+	// refused is the share of the route's calls that the door refuses.
+	refused float64
 	// granted is how many attempts the call was given.
 	granted zinniayoke.Tokens
 }
--- a/core/zyentry/filter.go
+++ b/core/zyentry/filter.go
@@ -96,7 +96,7 @@
 			return nil, zinniayoke.Refuse(zinniayoke.ReasonTooLarge, fmt.Sprintf("the route takes at most %d bytes", route.MaxBody))
 		}
 		e.fill(j)
-		if e.cfg.Kin != nil && !j.in.Arrived.IsZero() {
+		if e.cfg.Graph != nil && !j.in.Arrived.IsZero() {
 			e.adoptByDeadline(j)
 			if j.parent != nil {
 				j.parent.StartChild(time.Now())
@@ -107,20 +107,43 @@
 	}
 }
 
+const (
+	// childImportance lifts calls of workers above all root calls: their parents
+	// hold slots already. Composed bundles use half of the scale for root calls.
+	childImportance = 128
+	// childPatience is the part of its time that a worker's call may wait, and
+	// rootPatience the part of the objective that a root call may.
+	childPatience = 0.4
+	rootPatience  = 0.125
+)
+
 // adoptByDeadline makes the call a part of the running call that has the same
 // deadline, if the route is one that workers call. The call keeps its own id and
 // attempts.
 func (e *Entry) adoptByDeadline(j *job) {
-	parent, ok := e.cfg.Parents.Match(j.in.Arrived.Add(j.in.Timeout))
-	if !e.cfg.Kin.Judge(j.route.Name, ok) {
+	now := time.Now()
+	c := j.call
+	c.Patience = time.Duration(rootPatience * float64(j.route.Objective))
+	parent, matched := e.cfg.Parents.Match(j.in.Arrived.Add(j.in.Timeout))
+	if !matched {
+		e.cfg.Graph.Call(now, c.Route, "")
+	} else {
+		e.cfg.Graph.Call(now, c.Route, parent.Route)
+	}
+	if !e.cfg.Graph.Kin(c.Route) {
 		return
 	}
 	j.kin = true
-	if ok {
+	c.Depth = 1
+	left := min(j.in.Timeout, j.route.Timeout)
+	c.Patience = time.Duration(childPatience * float64(left))
+	importance := j.route.Class.Importance
+	if matched {
 		j.parent = parent
-		j.call.Rank = parent.Rank
-		j.call.Depth = parent.Depth + 1
+		c.Depth = parent.Depth + 1
+		importance = zyrank.ImportanceOf(parent.Rank)
 	}
+	c.Rank = zyrank.Lift(importance|childImportance, c.Rank)
 }
 
 // routeOf finds the route by the service that the caller names, or by host and
@@ -249,6 +272,12 @@
 func (e *Entry) shed(next step) step {
 	return func(ctx context.Context, j *job) (*zinniayoke.Reply, error) {
 		now := time.Now()
+		if e.cfg.Pressure != nil {
+			if err := e.press(now, j); err != nil {
+				return nil, err
+			}
+			return next(ctx, j)
+		}
 		if j.parent == nil && !j.kin && !e.cfg.Door.Admit(now, j.route.Name, j.call.Rank) {
 			j.threshold = e.cfg.Door.Threshold(now, j.route.Name)
 			refusal := zinniayoke.Refuse(zinniayoke.ReasonShed, "more important requests fill the service")
@@ -259,6 +288,21 @@
 	}
 }
 
+// press refuses root calls whose services have no room for them.
+func (e *Entry) press(now time.Time, j *job) error {
+	if j.kin {
+		return nil
+	}
+	admitted, refused := e.cfg.Pressure.Admit(now, j.route, j.call.Request)
+	if admitted {
+		return nil
+	}
+	j.refused = refused
+	refusal := zinniayoke.Refuse(zinniayoke.ReasonShed, fmt.Sprintf("%.0f%% of the route's calls are refused", 100*refused))
+	refusal.RetryAfter = retryAfter(j.call)
+	return refusal
+}
+
 // retryAfter spreads the re-sends of refused callers.
 func retryAfter(c *zinniayoke.Call) time.Duration {
 	const least, spread = 500 * time.Millisecond, time.Second
--- a/core/zyingress/receiver.go
+++ b/core/zyingress/receiver.go
@@ -15,7 +15,9 @@
 	"zinniayoke/core/zybundle"
 	"zinniayoke/core/zyclaim"
 	"zinniayoke/core/zyfence"
+	"zinniayoke/core/zygraph"
 	"zinniayoke/core/zyparent"
+	"zinniayoke/core/zypressure"
 	"zinniayoke/core/zysuspect"
 	"zinniayoke/core/zytimer"
 )
@@ -32,6 +34,10 @@
 	Meter    zinniayoke.Meter
 	// OnSuspects is called with the requests that were in flight at a crash.
 	OnSuspects func(cases []zysuspect.Case)
+	// Graph learns which calls the worker makes, and Callers who calls it; with
+	// both set, replies carry burdens in place of thresholds.
+	Graph   *zygraph.Graph
+	Callers *zygraph.Callers
 	// Journal takes what is decided about each attempt; nil means none.
 	Journal zinniayoke.Journal
 	// Lapse is how long an announcement holds; 0 means 3 s.
@@ -63,6 +69,7 @@
 	// dismissed is true once the worker has said that it ends.
 	dismissed bool
 	gate      *zyadmission.Gate
+	level     *zypressure.Level
 	calls     map[zinniayoke.AttemptID]*run
 	// alone is the suspected request that runs by itself, or nil.
 	alone *run
@@ -73,6 +80,8 @@
 type run struct {
 	attempt *zinniayoke.Attempt
 	print   zysuspect.Print
+	// kin is true where only workers of the caller's service call the route.
+	kin     bool
 	arrived time.Time
 	started time.Time
 	// decided receives the gate's decision.
@@ -118,10 +127,12 @@
 	}
 	if err != nil {
 		reply := r.refuse(a, err)
+		reply.Kin = c.kin
 		r.note(zinniayoke.EventAttemptRefused, c, reply)
 		return reply
 	}
 	reply := r.hand(ctx, c, worker)
+	reply.Kin = c.kin
 	r.leave(c)
 	r.note(zinniayoke.EventAttemptRun, c, reply)
 	return reply
@@ -176,9 +187,13 @@
 		return nil, err
 	}
 	r.calls[c.attempt.ID] = c
+	if r.cfg.Callers != nil {
+		c.kin = r.cfg.Callers.Note(now, c.attempt.Route, c.attempt.Caller)
+	}
+	r.level.Arrive(now)
 	item := zyadmission.Item{
 		ID: c.attempt.ID, Route: c.attempt.Route, Rank: c.attempt.Rank,
-		Depth: c.attempt.Depth, Deadline: now.Add(c.attempt.Left),
+		Depth: c.attempt.Depth, Deadline: now.Add(c.attempt.Left), Patience: c.attempt.Patience,
 	}
 	r.carryOut(now, r.gate.Arrive(now, item))
 	return r.worker, nil
@@ -303,10 +318,11 @@
 		}
 	}
 	parent := &zyparent.Parent{
-		Request: a.Request, Caller: a.Caller, Key: a.Key, Rank: a.Rank, Depth: a.Depth, Version: a.Version,
+		Request: a.Request, Caller: a.Caller, Route: a.Route, Key: a.Key, Rank: a.Rank, Depth: a.Depth, Version: a.Version,
 		Deadline: c.arrived.Add(a.Left), Pool: zyattempt.NewPool(a.Tokens, a.Tokens), Done: ctx.Done(),
 	}
 	handle := r.cfg.Parents.Open(parent)
+	begun := time.Now()
 	answer, handed, err := worker.Run(ctx, &zinniayoke.WorkerCall{
 		Attempt: a, Instance: r.instance(), Context: handle, Left: time.Until(parent.Deadline),
 	})
@@ -315,10 +331,16 @@
 		r.misdirected()
 	}
 	c.started = c.started.Add(parent.Waited())
+	if r.cfg.Graph != nil {
+		now := time.Now()
+		r.cfg.Graph.Run(now, a.Route, now.Sub(begun))
+	}
 	reply := r.reply(ctx, c, answer, handed, err)
 	reply.Handed = handed
 	reply.Unused = parent.Pool.Close()
-	reply.Threshold = max(reply.Threshold, parent.Threshold())
+	if r.cfg.Graph == nil {
+		reply.Threshold = max(reply.Threshold, parent.Threshold())
+	}
 	if keyed(a) {
 		r.cfg.Grants.End(time.Now(), a.Key, a.ID, reply)
 	}
@@ -438,6 +460,7 @@
 		if c, ok := r.calls[item.ID]; ok {
 			c.running = true
 			c.started = now
+			r.level.Serve(now)
 			c.decided <- zinniayoke.ReasonNone
 		}
 	}
@@ -447,6 +470,7 @@
 			r.forget(c)
 		}
 	}
+	r.level.Use(now, float64(r.gate.Running())/float64(r.gate.Limit()))
 }
 
 // forget removes a call. The lock is held.
@@ -476,7 +500,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.gate != nil {
-		reply.Threshold = r.gate.Threshold()
+		if r.cfg.Graph != nil {
+			reply.Burdens = r.cfg.Graph.Burdens(time.Now(), a.Service, a.Route, r.level.Share())
+		} else {
+			reply.Threshold = r.gate.Threshold()
+		}
 		reply.Load = (r.gate.Running() + r.gate.Waiting()) * percent / r.gate.Limit()
 	}
 	return reply
--- a/core/zyingress/worker.go
+++ b/core/zyingress/worker.go
@@ -6,6 +6,7 @@
 
 	"zinniayoke"
 	"zinniayoke/core/zyadmission"
+	"zinniayoke/core/zypressure"
 )
 
 // Announcement is what a worker says about itself, each second.
@@ -114,6 +115,7 @@
 func (r *Receiver) newGate(a Announcement) {
 	old := r.gate
 	r.gate = zyadmission.NewGate(zyadmission.Config{Slots: a.Slots, Fixed: r.cfg.FixedLimit})
+	r.level = zypressure.NewLevel()
 	r.crashed = false
 	if old == nil {
 		return
--- a/core/zyparent/table.go
+++ b/core/zyparent/table.go
@@ -17,6 +17,7 @@
 type Parent struct {
 	Request  zinniayoke.RequestID
 	Caller   zinniayoke.Caller
+	Route    zinniayoke.RouteName
 	Key      zinniayoke.Key
 	Rank     zinniayoke.Rank
 	Deadline time.Time
@@ -78,7 +79,7 @@
 	var best *Parent
 	nearest := matchTolerance
 	for _, p := range t.parents {
-		if d := p.Deadline.Sub(deadline).Abs(); d <= nearest {
+		if d := p.Deadline.Sub(deadline); d >= 0 && d <= nearest {
 			best, nearest = p, d
 		}
 	}
--- /dev/null
+++ b/core/zypressure/door.go
@@ -0,0 +1,160 @@
+package zypressure
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"zinniayoke"
+	"zinniayoke/core/zybundle"
+)
+
+const (
+	// holdTime is how long a told share counts in full, forgetTime how long at all.
+	holdTime   = 500 * time.Millisecond
+	forgetTime = 2 * time.Second
+	// offeredSpan is the span over which what is offered is averaged.
+	offeredSpan = 1 * time.Second
+	mostRoutes  = 8192
+)
+
+// Door decides which root calls an entry lets in. It knows from the replies to
+// each route's calls which services they burden and what share those have no
+// room for, and refuses that share of the burden: the least important routes
+// first and, among equals, those that cost most. It may be used by several
+// goroutines. A Door must be made with NewDoor.
+type Door struct {
+	mu     sync.Mutex
+	routes map[zinniayoke.RouteName]*offer
+	shares map[zinniayoke.Service]told
+}
+
+// offer is what an entry knows of a route.
+type offer struct {
+	importance int
+	rate       float64
+	count      int
+	since      time.Time
+	costs      map[zinniayoke.Service]float64
+}
+
+type told struct {
+	share float64
+	at    time.Time
+}
+
+// NewDoor returns a door that lets everything in.
+func NewDoor() *Door {
+	return &Door{routes: make(map[zinniayoke.RouteName]*offer), shares: make(map[zinniayoke.Service]told)}
+}
+
+// Learn notes what came with a reply to a call of the route.
+func (d *Door) Learn(now time.Time, route zinniayoke.RouteName, burdens []zinniayoke.Burden) {
+	if len(burdens) == 0 {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	o, ok := d.routes[route]
+	if !ok {
+		return
+	}
+	for _, b := range burdens {
+		if o.costs == nil {
+			o.costs = make(map[zinniayoke.Service]float64)
+		}
+		o.costs[b.Service] = b.Cost
+		old, known := d.shares[b.Service]
+		share := b.Share
+		if known && now.Sub(old.at) < holdTime {
+			// Several workers of a service tell their own shares.
+			const weight = 0.25
+			share = old.share + weight*(b.Share-old.share)
+		}
+		d.shares[b.Service] = told{share: share, at: now}
+	}
+}
+
+// Admit counts a call of the route and reports whether it may enter, with the
+// share of the route's calls that may not.
+func (d *Door) Admit(now time.Time, r *zybundle.Route, id zinniayoke.RequestID) (bool, float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	o, ok := d.routes[r.Name]
+	if !ok {
+		if len(d.routes) >= mostRoutes {
+			return true, 0
+		}
+		o = &offer{since: now}
+		d.routes[r.Name] = o
+	}
+	o.importance = r.Class.Importance
+	o.arrive(now)
+	refused := 0.0
+	for service := range o.costs {
+		refused = max(refused, d.refusedBy(now, service, o))
+	}
+	const scale = 1 << 20
+	at := float64(xxhash.Sum64String(string(id))%scale) / scale
+	return at >= refused, refused
+}
+
+func (o *offer) arrive(now time.Time) {
+	o.count++
+	if passed := now.Sub(o.since); passed >= offeredSpan {
+		o.rate = float64(o.count) / passed.Seconds()
+		o.count, o.since = 0, now
+	} else {
+		o.rate = max(o.rate, float64(o.count)/offeredSpan.Seconds())
+	}
+}
+
+// share returns the share that a service has no room for, less where it was not
+// told lately.
+func (d *Door) share(now time.Time, s zinniayoke.Service) float64 {
+	t := d.shares[s]
+	switch age := now.Sub(t.at); {
+	case age <= holdTime:
+		return t.share
+	case age < forgetTime:
+		return t.share * float64(forgetTime-age) / float64(forgetTime-holdTime)
+	}
+	return 0
+}
+
+// refusedBy returns the part of a route's calls that a service's share refuses.
+func (d *Door) refusedBy(now time.Time, s zinniayoke.Service, o *offer) float64 {
+	share := d.share(now, s)
+	if share <= 0 {
+		return 0
+	}
+	var all []*offer
+	sum := 0.0
+	for _, other := range d.routes {
+		if other.costs[s] > 0 && now.Sub(other.since) < 2*offeredSpan {
+			all = append(all, other)
+			sum += other.rate * other.costs[s]
+		}
+	}
+	slices.SortFunc(all, func(a, b *offer) int {
+		return cmp.Or(cmp.Compare(a.importance, b.importance), cmp.Compare(b.costs[s], a.costs[s]))
+	})
+	left := share * sum
+	for _, other := range all {
+		burden := other.rate * other.costs[s]
+		if other == o {
+			if burden <= 0 {
+				return 0
+			}
+			return min(max(left/burden, 0), 1)
+		}
+		left -= burden
+		if left <= 0 {
+			return 0
+		}
+	}
+	return 0
+}
--- a/core/zyrank/rank.go
+++ b/core/zyrank/rank.go
@@ -28,6 +28,11 @@
 	return rank | zinniayoke.Rank(xxhash.Sum64String(string(root))&hashMask)
 }
 
+// Lift returns the rank with another importance.
+func Lift(importance int, r zinniayoke.Rank) zinniayoke.Rank {
+	return zinniayoke.Rank(importance)<<importanceShift | r&(1<<importanceShift-1)
+}
+
 // ImportanceOf returns the importance of the class in a rank.
 func ImportanceOf(r zinniayoke.Rank) int {
 	return int(r >> importanceShift)
--- a/io/zynode/path.go
+++ b/io/zynode/path.go
@@ -15,11 +15,13 @@
 	"zinniayoke/core/zyegress"
 	"zinniayoke/core/zyentry"
 	"zinniayoke/core/zyfence"
+	"zinniayoke/core/zygraph"
 	"zinniayoke/core/zyhome"
 	"zinniayoke/core/zyingress"
 	"zinniayoke/core/zymember"
 	"zinniayoke/core/zyparent"
 	"zinniayoke/core/zypick"
+	"zinniayoke/core/zypressure"
 	"zinniayoke/core/zyrank"
 	"zinniayoke/core/zysplit"
 	"zinniayoke/core/zysuspect"
@@ -67,6 +69,20 @@
 	n.fence = zyfence.New(zyfence.Config{Most: mostAttempts, MostBytes: mostAnswerBytes, Keep: keepAttempts})
 	parents := &zyparent.Table{}
 	door := zydoor.New()
+	var (
+		graph    *zygraph.Graph
+		callers  *zygraph.Callers
+		pressure *zypressure.Door
+		learn    func(now time.Time, route zinniayoke.RouteName, r *zinniayoke.Reply)
+	)
+	if n.decided() {
+		// Workers of the platform return no handles, so the graph has to be learned.
+		graph, callers, pressure = zygraph.New(), zygraph.NewCallers(), zypressure.NewDoor()
+		learn = func(now time.Time, route zinniayoke.RouteName, r *zinniayoke.Reply) {
+			graph.Learn(now, route, r.Kin, r.Burdens)
+			pressure.Learn(now, route, r.Burdens)
+		}
+	}
 	n.links = &zypick.LinkBudget{}
 	n.picker = zypick.New(zypick.Config{
 		Place: n.cfg.Settings.Place, Roster: n.view, Links: n.links, Random: rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1)),
@@ -75,13 +91,13 @@
 		Node: n.id, Rules: n.book.Rules, Fence: n.fence, Grants: n.grants, Suspects: n.suspects,
 		Parents: parents, Timer: n.timer, Meter: n.meter, OnSuspects: n.spreadSuspects,
 		Lapse: n.cfg.Settings.Worker.Heartbeat * missedHeartbeats, FixedLimit: n.decided(),
-		Journal: n.journal,
+		Journal: n.journal, Graph: graph, Callers: callers,
 	})
 	n.retries = n.repeats()
 	sender := zyegress.New(zyegress.Config{
 		Peers: &localPeers{self: n.id, receiver: n.receiver, remote: n.client}, Picker: n.picker, Roster: n.view, Door: door,
 		Budgets: zyattempt.NewBudgets(), Suspects: n.suspects, Meter: n.meter, Rules: n.book.Rules,
-		Place: n.cfg.Settings.Place, Links: n.links, Repeats: n.retries, Journal: n.journal,
+		Place: n.cfg.Settings.Place, Links: n.links, Repeats: n.retries, Learn: learn, Journal: n.journal,
 	})
 	n.keepers = &keepers{
 		node: n.id, view: n.view, client: n.client, rules: n.book.Rules, ask: n.receiver.Ask,
@@ -95,7 +111,7 @@
 	n.entry = zyentry.New(zyentry.Config{
 		Rules: n.book.Rules, Parents: parents, Door: door, Sender: sender, Keepers: n.keepers.booker(),
 		Suspects: n.suspects, Shares: zyrank.NewShares(), Meter: n.meter,
-		Journal: n.journal, Kin: n.kin(),
+		Journal: n.journal, Graph: graph, Pressure: pressure,
 		Splits: zysplit.New(rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), splitSeed))),
 	})
 }
@@ -120,15 +136,6 @@
 	return 0
 }
 
-// kin returns what finds parents by their deadlines, nil where workers return
-// the handles of their calls.
-func (n *Node) kin() *zyparent.Kin {
-	if n.decided() {
-		return zyparent.NewKin()
-	}
-	return nil
-}
-
 // repeats returns the budget that all nodes share, nil where the settings set
 // none.
 func (n *Node) repeats() *zyattempt.Repeats {
--- a/message.go
+++ b/message.go
@@ -33,6 +33,8 @@
 	Tokens   Tokens
 	Depth    int
 	Version  Version
+	// Patience is how long the call may wait for a worker, 0 for the usual time.
+	Patience time.Duration
 }
 
 // Attempt is one send of a call to the node of one worker.
@@ -57,6 +59,9 @@
 	Tokens   Tokens        `codec:"to"`
 	Depth    int           `codec:"de"`
 	Version  Version       `codec:"ve"`
+	// Patience is how long the attempt may wait for the worker, 0 for as long as
+	// the gate lets all wait.
+	Patience time.Duration `codec:"pt"`
 }
 
 // Grant is a keeper's permission to run a key once. The zero value grants
@@ -122,6 +127,21 @@
 	Load int `codec:"lo"`
 	// Handed is true where the worker was given the attempt, also if it refused it.
 	Handed bool `codec:"hd"`
+	// Kin is true where the node of the worker sees that only workers of the
+	// sender's service call the route.
+	Kin bool `codec:"ki"`
+	// Burdens is what a call of the route costs each service.
+	Burdens []Burden `codec:"bu"`
+}
+
+// Burden is what a call costs a service in the end, with all calls that it leads
+// to there.
+type Burden struct {
+	Service Service `codec:"s"`
+	// Cost is the time in seconds for which slots of the service are held.
+	Cost float64 `codec:"c"`
+	// Share is the part of what is asked of the service that it has no room for.
+	Share float64 `codec:"p"`
 }
 
 // AskReply tells what became of an attempt.
