zyadmission, zypressure: queue by patience, let what comes back go first

Change: the gate orders by when patience ends, refuses at once a root call whose queue outlasts its patience, keeps more workers' calls; the door remembers what it refused; a worker that rejects what its node hands over seems loaded.

--- a/core/zyadmission/gate.go
+++ b/core/zyadmission/gate.go
@@ -43,6 +43,8 @@
 	Slots int
 	// Fixed keeps the limit at the announced slots.
 	Fixed bool
+	// QueuePerSlot is how many calls may wait for each that runs; 0 means 1.
+	QueuePerSlot int
 }
 
 const (
@@ -66,6 +68,8 @@
 	queue     *btree.BTreeG[Item]
 	sequence  uint64
 	service   map[zinniayoke.RouteName]time.Duration
+	// mean is how long calls hold a slot, whatever their route.
+	mean time.Duration
 }
 
 // NewGate returns a gate without running or waiting attempts.
@@ -82,9 +86,16 @@
 }
 
 // before orders the queue: the first item starts next, the last is refused
-// first. Among ranks that differ only in their hash, deeper calls go first,
+// first. Items that tell their patience go by when it ends, so that a call of a
+// worker, which has time, lets a short call of a caller pass, and is itself not
+// passed for long. Among ranks that differ only in their hash, deeper calls go first,
 // since more work is already spent on them.
 func before(a, b Item) bool {
+	if a.Patience > 0 && b.Patience > 0 {
+		if x, y := a.arrived.Add(a.Patience), b.arrived.Add(b.Patience); !x.Equal(y) {
+			return x.Before(y)
+		}
+	}
 	if a.Rank>>hashBits != b.Rank>>hashBits {
 		return a.Rank>>hashBits > b.Rank>>hashBits
 	}
@@ -138,6 +149,11 @@
 		res.Refuse = append(res.Refuse, Refusal{Item: item, Reason: zinniayoke.ReasonDeadline})
 		return res
 	}
+	if g.outlasts(item) {
+		g.threshold.Shed(now)
+		res.Refuse = append(res.Refuse, Refusal{Item: item, Reason: zinniayoke.ReasonShed})
+		return res
+	}
 	g.push(item)
 	g.start(now, &res)
 	for len(g.waiting) > g.queueBound() {
@@ -245,8 +261,22 @@
 	}
 }
 
+// outlasts reports whether the queue before a root call is longer than its
+// patience. A call that would be refused in the end is refused at once.
+func (g *Gate) outlasts(item Item) bool {
+	if item.Patience == 0 || item.Depth > 0 || len(g.running) < g.Limit() {
+		return false
+	}
+	ahead := 0
+	g.queue.AscendLessThan(item, func(Item) bool {
+		ahead++
+		return true
+	})
+	return time.Duration(ahead+1)*g.mean/time.Duration(g.Limit()) > item.Patience
+}
+
 func (g *Gate) queueBound() int {
-	return min(max(g.Limit()*queuePerSlot, shortestQueue), longestQueue)
+	return min(max(g.Limit()*max(g.cfg.QueuePerSlot, queuePerSlot), shortestQueue), longestQueue)
 }
 
 // hopeless reports whether the item cannot be answered before its deadline.
@@ -256,6 +286,7 @@
 
 // learn averages how long calls of a route take at this worker.
 func (g *Gate) learn(route zinniayoke.RouteName, took time.Duration) {
+	g.mean += time.Duration(serviceWeight * float64(took-g.mean))
 	old, ok := g.service[route]
 	if !ok {
 		g.service[route] = took
--- a/core/zyentry/filter.go
+++ b/core/zyentry/filter.go
@@ -293,7 +293,7 @@
 	if j.kin {
 		return nil
 	}
-	admitted, refused := e.cfg.Pressure.Admit(now, j.route, j.call.Request)
+	admitted, refused := e.cfg.Pressure.Admit(now, j.route, j.call.Request, j.call.BodyHash)
 	if admitted {
 		return nil
 	}
--- a/core/zyingress/receiver.go
+++ b/core/zyingress/receiver.go
@@ -47,6 +47,8 @@
 }
 
 const (
+	// rejectLoad is how many times its limit a worker seems to run that refuses all.
+	rejectLoad    = 2
 	tickPeriod    = 10 * time.Millisecond
 	announceLapse = 3 * time.Second
 	probeTimeout  = 200 * time.Millisecond
@@ -70,7 +72,9 @@
 	dismissed bool
 	gate      *zyadmission.Gate
 	level     *zypressure.Level
-	calls     map[zinniayoke.AttemptID]*run
+	// rejects is the share of the handed calls that the worker has refused lately.
+	rejects float64
+	calls   map[zinniayoke.AttemptID]*run
 	// alone is the suspected request that runs by itself, or nil.
 	alone *run
 	idle  chan struct{}
@@ -330,13 +334,16 @@
 	if errors.Is(err, zinniayoke.ErrMisdirected) {
 		r.misdirected()
 	}
-	c.started = c.started.Add(parent.Waited())
+	if r.cfg.Graph == nil {
+		c.started = c.started.Add(parent.Waited())
+	}
 	if r.cfg.Graph != nil {
 		now := time.Now()
 		r.cfg.Graph.Run(now, a.Route, now.Sub(begun))
 	}
 	reply := r.reply(ctx, c, answer, handed, err)
 	reply.Handed = handed
+	r.countReject(handed && reply.Outcome == zinniayoke.OutcomeNotRun)
 	reply.Unused = parent.Pool.Close()
 	if r.cfg.Graph == nil {
 		reply.Threshold = max(reply.Threshold, parent.Threshold())
@@ -347,6 +354,21 @@
 	return reply
 }
 
+// rejectWeight follows a worker that begins to refuse within some ten calls.
+const rejectWeight = 0.1
+
+// countReject notes whether the worker has refused a call although its node saw
+// room. Such a worker seems more loaded to senders than it says.
+func (r *Receiver) countReject(rejected bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	hit := 0.0
+	if rejected {
+		hit = 1
+	}
+	r.rejects += rejectWeight * (hit - r.rejects)
+}
+
 func (r *Receiver) instance() zinniayoke.Instance {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -505,7 +527,7 @@
 		} else {
 			reply.Threshold = r.gate.Threshold()
 		}
-		reply.Load = (r.gate.Running() + r.gate.Waiting()) * percent / r.gate.Limit()
+		reply.Load = (r.gate.Running()+r.gate.Waiting())*percent/r.gate.Limit() + int(rejectLoad*percent*r.rejects)
 	}
 	return reply
 }
--- a/core/zyingress/worker.go
+++ b/core/zyingress/worker.go
@@ -114,7 +114,7 @@
 // by their own contexts; calls that run are lost with the old worker.
 func (r *Receiver) newGate(a Announcement) {
 	old := r.gate
-	r.gate = zyadmission.NewGate(zyadmission.Config{Slots: a.Slots, Fixed: r.cfg.FixedLimit})
+	r.gate = zyadmission.NewGate(zyadmission.Config{Slots: a.Slots, Fixed: r.cfg.FixedLimit, QueuePerSlot: r.queuePerSlot()})
 	r.level = zypressure.NewLevel()
 	r.crashed = false
 	if old == nil {
@@ -142,6 +142,15 @@
 	return true
 }
 
+// queuePerSlot lets more calls wait where each tells how long it can.
+func (r *Receiver) queuePerSlot() int {
+	const patientQueue = 3
+	if r.cfg.Graph != nil {
+		return patientQueue
+	}
+	return 0
+}
+
 // letGo refuses all calls that wait. The lock is held.
 func (r *Receiver) letGo(reason zinniayoke.Reason) {
 	for _, c := range r.calls {
--- a/core/zypressure/door.go
+++ b/core/zypressure/door.go
@@ -30,6 +30,8 @@
 	mu     sync.Mutex
 	routes map[zinniayoke.RouteName]*offer
 	shares map[zinniayoke.Service]told
+	// refused holds what was refused lately, so that it goes first when it comes back.
+	refused *returns
 }
 
 // offer is what an entry knows of a route.
@@ -48,7 +50,7 @@
 
 // NewDoor returns a door that lets everything in.
 func NewDoor() *Door {
-	return &Door{routes: make(map[zinniayoke.RouteName]*offer), shares: make(map[zinniayoke.Service]told)}
+	return &Door{routes: make(map[zinniayoke.RouteName]*offer), shares: make(map[zinniayoke.Service]told), refused: newReturns()}
 }
 
 // Learn notes what came with a reply to a call of the route.
@@ -79,8 +81,9 @@
 }
 
 // Admit counts a call of the route and reports whether it may enter, with the
-// share of the route's calls that may not.
-func (d *Door) Admit(now time.Time, r *zybundle.Route, id zinniayoke.RequestID) (bool, float64) {
+// share of the route's calls that may not. Content tells equal calls: one that
+// was refused and comes back goes before those that come first.
+func (d *Door) Admit(now time.Time, r *zybundle.Route, id zinniayoke.RequestID, content uint64) (bool, float64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	o, ok := d.routes[r.Name]
@@ -99,9 +102,17 @@
 	}
 	const scale = 1 << 20
 	at := float64(xxhash.Sum64String(string(id))%scale) / scale
-	return at >= refused, refused
+	if at >= refused || d.refused.take(now, content) && refused < returnShare {
+		return true, refused
+	}
+	d.refused.add(now, content)
+	return false, refused
 }
 
+// returnShare is the share of refused calls from which on calls that come back
+// could fill the room alone, so that they are treated like all.
+const returnShare = 0.8
+
 func (o *offer) arrive(now time.Time) {
 	o.count++
 	if passed := now.Sub(o.since); passed >= offeredSpan {
