--- /dev/null
+++ b/core/zyparent/table_test.go
@@ -0,0 +1,36 @@
+package zyparent_test
+
+import (
+	"testing"
+	"time"
+
+	"zinniayoke/core/zyparent"
+)
+
+func TestMatchByDeadline(t *testing.T) {
+	table := &zyparent.Table{}
+	at := time.Now().Add(time.Second)
+	near, far := &zyparent.Parent{Deadline: at}, &zyparent.Parent{Deadline: at.Add(10 * time.Millisecond)}
+	handle := table.Open(near)
+	table.Open(far)
+	for _, c := range []struct {
+		name string
+		off  time.Duration
+		want *zyparent.Parent
+	}{
+		{"equal", 0, near},
+		{"rounded down twice", -2 * time.Millisecond, near},
+		{"later than the parent's", time.Millisecond, nil},
+		{"between both", 8 * time.Millisecond, far},
+		{"too early", -4 * time.Millisecond, nil},
+	} {
+		got, ok := table.Match(at.Add(c.off))
+		if got != c.want || ok != (c.want != nil) {
+			t.Errorf("%s: got %p, want %p", c.name, got, c.want)
+		}
+	}
+	table.Close(handle)
+	if _, ok := table.Match(at); ok {
+		t.Error("a call that has ended was matched")
+	}
+}
--- /dev/null
+++ b/core/zypressure/door_test.go
@@ -0,0 +1,108 @@
+package zypressure_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"zinniayoke"
+	"zinniayoke/core/zybundle"
+	"zinniayoke/core/zypressure"
+)
+
+func route(name string, importance int) *zybundle.Route {
+	return &zybundle.Route{Name: zinniayoke.RouteName(name), Class: zybundle.Class{Importance: importance}}
+}
+
+// TestDoorRefusesTheLeastImportant replays an entry where bookings, reads and
+// lookups burden one service, which has no room for a part of that.
+func TestDoorRefusesTheLeastImportant(t *testing.T) {
+	booking, read, lookup, free := route("booking", 127), route("read", 126), route("lookup", 125), route("free", 125)
+	for _, c := range []struct {
+		share                 float64
+		booking, read, lookup float64
+	}{
+		{0, 0, 0, 0},
+		{0.3, 0, 0, 0.6},
+		{0.5, 0, 0, 1},
+		{0.6, 0, 0.5, 1},
+		{0.85, 0.5, 1, 1},
+	} {
+		d := zypressure.NewDoor()
+		now := time.Now()
+		refused, asked := map[string]int{}, map[string]int{}
+		id := 0
+		ask := func(r *zybundle.Route, n int) {
+			for range n {
+				id++
+				ok, _ := d.Admit(now, r, zinniayoke.RequestID(fmt.Sprint(id)), uint64(id))
+				asked[string(r.Name)]++
+				if !ok {
+					refused[string(r.Name)]++
+				}
+			}
+		}
+		for i := range 300 {
+			now = now.Add(10 * time.Millisecond)
+			// Each second: 30 bookings of 10 ms, 100 reads of 2 ms, 100 lookups of 5 ms.
+			for _, r := range []struct {
+				route *zybundle.Route
+				cost  float64
+			}{{booking, 0.010}, {read, 0.002}, {lookup, 0.005}} {
+				d.Learn(now, r.route.Name, []zinniayoke.Burden{{Service: "deep", Cost: r.cost, Share: c.share}})
+			}
+			if i == 100 {
+				clear(refused)
+				clear(asked)
+			}
+			if i%10 < 3 {
+				ask(booking, 1)
+			}
+			ask(read, 1)
+			ask(lookup, 1)
+			ask(free, 1)
+		}
+		for name, want := range map[string]float64{"booking": c.booking, "read": c.read, "lookup": c.lookup, "free": 0} {
+			if got := float64(refused[name]) / float64(asked[name]); math.Abs(got-want) > 0.15 {
+				t.Errorf("share %.2f: %.2f of %s is refused, want %.2f", c.share, got, name, want)
+			}
+		}
+	}
+}
+
+func TestWhatComesBackGoesFirst(t *testing.T) {
+	d := zypressure.NewDoor()
+	now := time.Now()
+	r := route("lookup", 125)
+	d.Admit(now, r, "first", 0)
+	d.Learn(now, r.Name, []zinniayoke.Burden{{Service: "deep", Cost: 1, Share: 0.5}})
+	again := 0
+	for i := range 200 {
+		id, content := zinniayoke.RequestID(fmt.Sprint(i)), uint64(i+1)
+		if ok, _ := d.Admit(now, r, id, content); ok {
+			continue
+		}
+		again++
+		if ok, _ := d.Admit(now.Add(300*time.Millisecond), r, id+"again", content); !ok {
+			t.Errorf("call %d was refused when it came back", i)
+		}
+	}
+	if again < 50 {
+		t.Errorf("only %d of 200 calls were refused at first", again)
+	}
+}
+
+func TestSharesAreForgotten(t *testing.T) {
+	d := zypressure.NewDoor()
+	now := time.Now()
+	r := route("lookup", 125)
+	d.Admit(now, r, "first", 0)
+	d.Learn(now, r.Name, []zinniayoke.Burden{{Service: "deep", Cost: 1, Share: 0.9}})
+	if _, share := d.Admit(now, r, "a", 1); share < 0.5 {
+		t.Errorf("%.2f is refused at once, want most", share)
+	}
+	if _, share := d.Admit(now.Add(3*time.Second), r, "b", 2); share != 0 {
+		t.Errorf("%.2f is refused 3 s after the last word, want nothing", share)
+	}
+}
