zyingress: split the taking in of announcements; all: lint

Change: outdated, fresh and connect are methods of their own; a replaced worker's idle connections are closed.

--- a/core/zygraph/graph.go
+++ b/core/zygraph/graph.go
@@ -182,22 +182,22 @@
 	if !c.kin || known.count < 1 {
 		return 0
 	}
-	sum, real := 0.0, 0.0
+	sum, certain := 0.0, 0.0
 	for _, n := range c.matched {
 		sum += n
 	}
 	for _, n := range c.matched {
 		if n >= chanceShare*sum {
-			real += n
+			certain += n
 		}
 	}
-	if sum < fewestMatches || real == 0 {
+	if sum < fewestMatches || certain == 0 {
 		return c.count / g.runCount() // It is not known which of the runs make the calls.
 	}
 	if c.matched[r] < chanceShare*sum {
 		return 0
 	}
-	return c.count * c.matched[r] / real / known.count
+	return c.count * c.matched[r] / certain / known.count
 }
 
 func (g *Graph) runCount() float64 {
--- a/core/zyingress/worker.go
+++ b/core/zyingress/worker.go
@@ -78,26 +78,21 @@
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if a.Incarnation == r.told.Incarnation && a.Sequence != 0 && a.Sequence <= r.told.Sequence {
-		return false, nil // A later announcement has arrived before this one.
-	}
-	if r.dismissed && a.Incarnation <= r.told.Incarnation {
+	if r.outdated(a) {
 		return false, nil
 	}
-	r.dismissed = false
-	// A worker that was found by a probe has no incarnation yet.
-	found := r.worker != nil && r.told.Incarnation == 0 && a.Instance != "" && a.Instance == r.told.Instance
-	fresh := r.worker == nil || a.Incarnation > r.told.Incarnation && !found
-	if r.worker != nil && !fresh && r.told.State == zinniayoke.WorkerDraining && a.Sequence == 0 {
-		a.State = zinniayoke.WorkerDraining
-	}
 	if r.worker != nil && a.Incarnation < r.told.Incarnation {
 		return false, &AnnouncementError{Field: "incarnation", Accepted: "one that is not older than the last"}
 	}
+	r.dismissed = false
+	fresh := r.fresh(a)
+	if !fresh && a.Sequence == 0 {
+		a.State = max(a.State, r.told.State) // A probe does not bring back what drains.
+	}
 	changed := fresh || r.crashed || !a.same(r.told) || now.Sub(r.toldAt) > r.cfg.Lapse
 	r.crashed = false
 	if fresh || a.Address != r.told.Address || a.Connections != r.told.Connections {
-		r.worker = connect(a)
+		r.connect(a, connect)
 	}
 	if fresh {
 		r.newGate(a)
@@ -110,6 +105,33 @@
 	return changed, nil
 }
 
+// outdated reports whether a later announcement of the same start has arrived
+// already, or the start has said that it ends. The lock is held.
+func (r *Receiver) outdated(a Announcement) bool {
+	if a.Incarnation == r.told.Incarnation && a.Sequence != 0 && a.Sequence <= r.told.Sequence {
+		return true
+	}
+	return r.dismissed && a.Incarnation <= r.told.Incarnation
+}
+
+// fresh reports whether the announcement is of another start of the worker. One
+// that was found by a probe has no incarnation yet. The lock is held.
+func (r *Receiver) fresh(a Announcement) bool {
+	if r.worker == nil {
+		return true
+	}
+	found := r.told.Incarnation == 0 && a.Instance != "" && a.Instance == r.told.Instance
+	return a.Incarnation > r.told.Incarnation && !found
+}
+
+// connect replaces the connections to the worker. The lock is held.
+func (r *Receiver) connect(a Announcement, connect func(Announcement) zinniayoke.Worker) {
+	if old, ok := r.worker.(interface{ Close() }); ok {
+		old.Close()
+	}
+	r.worker = connect(a)
+}
+
 // newGate starts over for a worker that has restarted. Calls that wait move on
 // by their own contexts; calls that run are lost with the old worker.
 func (r *Receiver) newGate(a Announcement) {
