--- a/core/zyingress/worker.go
+++ b/core/zyingress/worker.go
@@ -86,8 +86,8 @@
 	}
 	r.dismissed = false
 	fresh := r.fresh(a)
-	if !fresh && a.Sequence == 0 {
-		a.State = max(a.State, r.told.State) // A probe does not bring back what drains.
+	if !fresh {
+		a.State = r.stateAfter(a)
 	}
 	changed := fresh || r.crashed || !a.same(r.told) || now.Sub(r.toldAt) > r.cfg.Lapse
 	r.crashed = false
@@ -124,6 +124,15 @@
 	return a.Incarnation > r.told.Incarnation && !found
 }
 
+// stateAfter returns the state that the announcement leads to. A probe does not
+// bring back what drains. The lock is held.
+func (r *Receiver) stateAfter(a Announcement) zinniayoke.WorkerState {
+	if r.told.State == zinniayoke.WorkerDraining && a.Sequence == 0 {
+		return zinniayoke.WorkerDraining
+	}
+	return a.State
+}
+
 // connect replaces the connections to the worker. The lock is held.
 func (r *Receiver) connect(a Announcement, connect func(Announcement) zinniayoke.Worker) {
 	if old, ok := r.worker.(interface{ Close() }); ok {
