zypick, zyingress, zynode: keep comfortable load at home, wake up less

Change: load under 0.6 of the limit draws nothing away, a told load counts for 1 s, another region needs a queue twice the limit, a worker 3 times slower than the fastest seems loaded; the tick is slow while nothing waits; ids need no system call.

--- a/core/zyegress/sender.go
+++ b/core/zyegress/sender.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"errors"
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -64,7 +66,7 @@
 // New returns a sender.
 func New(cfg Config) *Sender {
 	if cfg.NewID == nil {
-		cfg.NewID = func() zinniayoke.AttemptID { return zinniayoke.AttemptID(uuid.NewString()) }
+		cfg.NewID = serialIDs()
 	}
 	if cfg.Journal == nil {
 		cfg.Journal = zinniayoke.NoJournal{}
@@ -72,6 +74,16 @@
 	return &Sender{cfg: cfg}
 }
 
+// serialIDs returns ids that no other sender uses: a random start and a count.
+func serialIDs() func() zinniayoke.AttemptID {
+	start := uuid.NewString()[:18] // 64 random bits and two dashes
+	var count atomic.Uint64
+	const base = 36
+	return func() zinniayoke.AttemptID {
+		return zinniayoke.AttemptID(start + "." + strconv.FormatUint(count.Add(1), base))
+	}
+}
+
 // Send is what one call is sent with.
 type Send struct {
 	Call  *zinniayoke.Call
--- a/core/zyingress/receiver.go
+++ b/core/zyingress/receiver.go
@@ -48,7 +48,9 @@
 
 const (
 	// rejectLoad is how many times its limit a worker seems to run that refuses all.
-	rejectLoad    = 2
+	rejectLoad = 2
+	// idlePeriod is enough while nothing waits; each turn costs a wake-up.
+	idlePeriod    = 100 * time.Millisecond
 	tickPeriod    = 10 * time.Millisecond
 	announceLapse = 3 * time.Second
 	probeTimeout  = 200 * time.Millisecond
@@ -72,6 +74,8 @@
 	dismissed bool
 	gate      *zyadmission.Gate
 	level     *zypressure.Level
+	// ticking is true while the queue is looked at often.
+	ticking bool
 	// rejects is the share of the handed calls that the worker has refused lately.
 	rejects float64
 	calls   map[zinniayoke.AttemptID]*run
@@ -103,7 +107,7 @@
 		cfg.Lapse = announceLapse
 	}
 	r := &Receiver{cfg: cfg, calls: make(map[zinniayoke.AttemptID]*run)}
-	r.tick = cfg.Timer.Every(tickPeriod, r.onTick)
+	r.tick = cfg.Timer.Every(idlePeriod, r.onTick)
 	return r
 }
 
@@ -493,6 +497,19 @@
 		}
 	}
 	r.level.Use(now, float64(r.gate.Running())/float64(r.gate.Limit()))
+	r.setTick()
+}
+
+// setTick looks at the queue often only while calls wait. The lock is held.
+func (r *Receiver) setTick() {
+	if busy := r.gate.Waiting() > 0; busy != r.ticking {
+		r.ticking = busy
+		if busy {
+			r.tick.SetPeriod(tickPeriod)
+		} else {
+			r.tick.SetPeriod(idlePeriod)
+		}
+	}
 }
 
 // forget removes a call. The lock is held.
--- a/core/zypick/picker.go
+++ b/core/zypick/picker.go
@@ -18,6 +18,9 @@
 	Random *rand.Rand
 	// Links bounds what goes to other regions; nil means no bound.
 	Links *LinkBudget
+	// Beyond is how many times its limit an upstream of the own region may be loaded
+	// more than one of another region before the call goes there; 0 means once.
+	Beyond float64
 }
 
 const (
@@ -32,6 +35,16 @@
 	// busy nearby before it goes further.
 	regionDistance = 0.2
 	beyondDistance = 1.0
+	// Below comfortable load no call waits, so that less of it draws no calls away.
+	comfortable = 0.6
+	// loadAge is how long a told load counts.
+	loadAge = 1 * time.Second
+	// An upstream that is so many times slower than the fastest seems slowWeight
+	// more loaded for each time beyond. Workers of one service differ by 3 times.
+	slowFactor = 3.0
+	slowWeight = 0.15
+	// slowAge is how long a slow upstream is believed slow without a new answer.
+	slowAge = 2 * time.Second
 )
 
 // Picker keeps what this node observed of each upstream. It may be used by
@@ -40,6 +53,8 @@
 	cfg   Config
 	mu    sync.Mutex
 	nodes map[zinniayoke.NodeID]*observed
+	// fastest is the shortest latency among those that are chosen from.
+	fastest time.Duration
 }
 
 type observed struct {
@@ -52,10 +67,14 @@
 	told      time.Time
 	load      int
 	used      time.Time
+	answered  time.Time
 }
 
 // New returns a picker without observations.
 func New(cfg Config) *Picker {
+	if cfg.Beyond == 0 {
+		cfg.Beyond = beyondDistance
+	}
 	return &Picker{cfg: cfg, nodes: make(map[zinniayoke.NodeID]*observed)}
 }
 
@@ -64,6 +83,7 @@
 func (p *Picker) Pick(now time.Time, s zinniayoke.Service, r zinniayoke.Rank, exclude []zinniayoke.NodeID) (zinniayoke.Upstream, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.setFastest(now, p.cfg.Roster.Upstreams(s))
 	all := p.usable(now, p.cfg.Roster.Upstreams(s), exclude)
 	if u, ok := p.nearest(now, p.withRoom(now, r, all)); ok {
 		return u, true
@@ -76,7 +96,7 @@
 func (p *Picker) nearest(now time.Time, all []zinniayoke.Upstream) (zinniayoke.Upstream, bool) {
 	var best zinniayoke.Upstream
 	lowest, found := 0.0, false
-	for tier, distance := range []float64{0, regionDistance, beyondDistance} {
+	for tier, distance := range []float64{0, regionDistance, p.cfg.Beyond} {
 		u, ok := p.better(now, p.inTier(all, tier))
 		if !ok {
 			continue
@@ -173,10 +193,35 @@
 	}
 	slots := float64(max(u.Slots, 1))
 	score := float64(o.inFlight) / slots
-	if now.Sub(o.told) < thresholdAge {
+	if now.Sub(o.told) < loadAge {
 		score = max(score, float64(o.load)/percent)
 	}
-	return score
+	return max(score-comfortable, 0) + score*tieWeight + p.slowness(now, o)
+}
+
+// tieWeight lets the less loaded of two comfortable upstreams be chosen.
+const tieWeight = 0.1
+
+// slowness returns how much an upstream's answers lag behind the fastest one's.
+func (p *Picker) slowness(now time.Time, o *observed) float64 {
+	if p.fastest <= 0 || o.latency <= 0 || now.Sub(o.answered) > slowAge {
+		return 0
+	}
+	return slowWeight * max(float64(o.latency)/float64(p.fastest)-slowFactor, 0)
+}
+
+// setFastest finds the shortest latency among the upstreams of a service.
+func (p *Picker) setFastest(now time.Time, all []zinniayoke.Upstream) {
+	p.fastest = 0
+	for _, u := range all {
+		o, ok := p.nodes[u.Node]
+		if !ok || o.latency <= 0 || now.Sub(o.answered) > slowAge {
+			continue
+		}
+		if p.fastest == 0 || o.latency < p.fastest {
+			p.fastest = o.latency
+		}
+	}
 }
 
 // Start notes that an attempt goes out.
@@ -200,7 +245,11 @@
 	case zinniayoke.OutcomeDone:
 		o.failures = 0
 		o.asideFor = 0
+		if o.latency == 0 || now.Sub(o.answered) > slowAge {
+			o.latency = took
+		}
 		o.latency += time.Duration(latencyWeight * float64(took-o.latency))
+		o.answered = now
 	case zinniayoke.OutcomeUnknown:
 		o.fail(now)
 	case zinniayoke.OutcomeNotRun:
--- a/core/zytimer/service.go
+++ b/core/zytimer/service.go
@@ -47,6 +47,23 @@
 	return sub
 }
 
+// SetPeriod changes the period. The next turn is one new period from now at the
+// latest.
+func (sub *Subscription) SetPeriod(period time.Duration) {
+	s := sub.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if sub.index < 0 || sub.period == period {
+		return
+	}
+	sub.period = period
+	if next := time.Now().Add(period); next.Before(sub.next) {
+		sub.next = next
+		heap.Fix(&s.queue, sub.index)
+		s.signal()
+	}
+}
+
 // Cancel ends the subscription. A call that has begun is not interrupted.
 func (sub *Subscription) Cancel() {
 	s := sub.service
--- a/io/zynode/path.go
+++ b/io/zynode/path.go
@@ -66,7 +66,7 @@
 	n.meter = zymetric.New(zymetric.Config{Registry: n.registry, Rules: n.book.Rules})
 	n.grants = zyclaim.NewGrants(zyclaim.GrantsConfig{Node: n.id, Most: mostKeys, Window: firstKeyWindow})
 	n.keeper = zyclaim.NewKeeper(zyclaim.KeeperConfig{Node: n.id, Most: mostKeys, Window: firstKeyWindow})
-	n.fence = zyfence.New(zyfence.Config{Most: mostAttempts, MostBytes: mostAnswerBytes, Keep: keepAttempts})
+	n.fence = zyfence.New(n.fenceConfig())
 	parents := &zyparent.Table{}
 	door := zydoor.New()
 	var (
@@ -85,7 +85,7 @@
 	}
 	n.links = &zypick.LinkBudget{}
 	n.picker = zypick.New(zypick.Config{
-		Place: n.cfg.Settings.Place, Roster: n.view, Links: n.links, Random: rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1)),
+		Place: n.cfg.Settings.Place, Roster: n.view, Links: n.links, Beyond: n.beyond(), Random: rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1)),
 	})
 	n.receiver = zyingress.New(zyingress.Config{
 		Node: n.id, Rules: n.book.Rules, Fence: n.fence, Grants: n.grants, Suspects: n.suspects,
@@ -125,8 +125,34 @@
 	// workers cannot be spared to run it alone.
 	crashesInRow = 3
 	splitSeed    = 2
+	// A sender gives up after three questions of a second each; answers that are
+	// asked for are those of the last moments.
+	keepUnkeyed        = 10 * time.Second
+	unkeyedAnswerBytes = 2 * zinniayoke.MiB
 )
 
+// fenceConfig keeps less where there are no keys, whose keepers may ask late: a
+// sender asks within askTimeout what became of an attempt.
+func (n *Node) fenceConfig() zyfence.Config {
+	if n.decided() {
+		return zyfence.Config{Most: mostAttempts, MostBytes: unkeyedAnswerBytes, Keep: keepUnkeyed}
+	}
+	return zyfence.Config{Most: mostAttempts, MostBytes: mostAnswerBytes, Keep: keepAttempts}
+}
+
+// farDistance keeps calls in their region until its workers have queues twice as
+// long as their limit: workers there take calls with patience, and the link
+// between regions of the users' sites is shared by all that crosses it.
+const farDistance = 2.0
+
+// beyond returns how much more loaded the own region may be than another.
+func (n *Node) beyond() float64 {
+	if n.decided() {
+		return farDistance
+	}
+	return 0
+}
+
 // crashes returns how many crashes in a row quarantine a request, 0 to let
 // suspects run alone instead.
 func (n *Node) crashes() int {
