--- a/io/zynode/edges.go
+++ b/io/zynode/edges.go
@@ -117,13 +117,6 @@
 	n.log.With("version", n.book.Version()).Info("The store is back.")
 }
 
-// follow reads the log where the nodes agree over it.
-func (n *Node) follow(now time.Time) {
-	if !n.decided() {
-		n.follower.Follow(now)
-	}
-}
-
 const findTimeout = 500 * time.Millisecond
 
 // findWorker looks for a worker that has been running since before the node
--- a/io/zynode/node.go
+++ b/io/zynode/node.go
@@ -280,8 +280,10 @@
 }
 
 func (n *Node) subscribe() {
+	if !n.decided() {
+		n.subs = append(n.subs, n.timer.Every(followPeriod, n.follower.Follow))
+	}
 	n.subs = append(n.subs,
-		n.timer.Every(followPeriod, n.follow),
 		n.timer.Every(syncPeriod, func(time.Time) { n.syncRandom() }),
 		n.timer.Every(upkeepPeriod, n.upkeep),
 	)
--- a/io/zypeer/client.go
+++ b/io/zypeer/client.go
@@ -72,6 +72,10 @@
 	used    time.Time
 	pending *rpc.Call
 	sent    time.Time
+	// active counts the calls that wait for an answer, and answered is when the
+	// last one came.
+	active   int
+	answered time.Time
 }
 
 // NewClient returns a client without connections.
@@ -102,7 +106,7 @@
 		return nil, nil, err
 	}
 	_ = conn.SetDeadline(time.Time{})
-	return conn, rpc.NewClientWithCodec(codec.GoRpc.ClientCodec(conn, rpcHandle())), nil
+	return conn, rpc.NewClientWithCodec(codec.GoRpc.ClientCodec(newBuffered(conn), rpcHandle())), nil
 }
 
 // connect returns the link to a peer, which is opened by its first user.
@@ -188,7 +192,8 @@
 		c.dropLocked(l)
 		return
 	}
-	if now.Sub(l.sent) >= heartbeatPeriod {
+	// Where nobody waits, or answers come, a heartbeat tells nothing.
+	if l.active > 0 && now.Sub(l.answered) >= heartbeatPeriod && now.Sub(l.sent) >= heartbeatPeriod {
 		l.sent = now
 		l.pending = l.rpc.Go(serviceName+".Ping", &Empty{}, &Empty{}, make(chan *rpc.Call, 1))
 	}
@@ -200,10 +205,13 @@
 	if err != nil {
 		return &PeerError{Address: address, Method: method, Err: err}
 	}
+	c.begin(l)
 	call := l.rpc.Go(serviceName+"."+method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
+		c.end(l, call.Error == nil)
 	case <-ctx.Done():
+		c.end(l, false)
 		return &PeerError{Address: address, Method: method, Err: context.Cause(ctx)}
 	}
 	if call.Error == nil {
@@ -216,6 +224,27 @@
 	return &PeerError{Address: address, Method: method, Err: errors.Join(ErrSilent, call.Error)}
 }
 
+// begin counts a call that waits for an answer on a link.
+func (c *Client) begin(l *link) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if l.active == 0 {
+		l.answered = time.Now() // Nothing that came before is late.
+	}
+	l.active++
+}
+
+// end counts a call that waits no more. One that was given up says nothing about
+// the link.
+func (c *Client) end(l *link, answered bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l.active--
+	if answered {
+		l.answered = time.Now()
+	}
+}
+
 // callFresh runs one method over a connection of its own.
 func (c *Client) callFresh(ctx context.Context, address, method string, args, reply any) error {
 	_, client, err := c.open(ctx, address)
--- a/io/zypeer/server.go
+++ b/io/zypeer/server.go
@@ -91,7 +91,7 @@
 		return
 	}
 	_ = conn.SetDeadline(time.Time{})
-	s.rpc.ServeCodec(codec.GoRpc.ServerCodec(conn, rpcHandle()))
+	s.rpc.ServeCodec(codec.GoRpc.ServerCodec(newBuffered(conn), rpcHandle()))
 }
 
 func rpcHandle() *codec.MsgpackHandle {
