zyhome: tell each attempt of a key once

Change: the keeper tells with each reply the attempts of the key that no earlier reply told of; the header is made from that. Tokens stay bounded as before.

--- a/core/zyattempt/pool.go
+++ b/core/zyattempt/pool.go
@@ -16,6 +16,7 @@
 	needed zinniayoke.Tokens
 	spent  zinniayoke.Tokens
 	closed bool
+	sends  zinniayoke.Tokens
 }
 
 // NewPool returns a Pool of left tokens, of which a whole run without any
@@ -35,6 +36,7 @@
 	}
 	p.left--
 	p.spent++
+	p.sends++
 	share = min(calls, p.left)
 	extra := max(p.left-share, 0)
 	share += extra / 2
@@ -77,6 +79,13 @@
 	return taken
 }
 
+// Sends returns how many sends this hop has made, without what they passed on.
+func (p *Pool) Sends() zinniayoke.Tokens {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.sends
+}
+
 // Left returns the tokens that are not spent.
 func (p *Pool) Left() zinniayoke.Tokens {
 	p.mu.Lock()
--- a/core/zyclaim/keeper.go
+++ b/core/zyclaim/keeper.go
@@ -80,7 +80,9 @@
 	fate     zinniayoke.Fate
 	reply    *zinniayoke.Reply
 	used     zinniayoke.Tokens
-	at       time.Time
+	// told is how many of the used attempts replies have told of.
+	told zinniayoke.Tokens
+	at   time.Time
 	// gaveUp is true for a key that the caller's new home may run.
 	gaveUp bool
 	// restored is true for what was learned from an earlier keeper's time.
@@ -251,6 +253,24 @@
 	}
 }
 
+// Tell returns how many attempts the key has used that it was not told of
+// before, with those of a run that is under way.
+func (k *Keeper) Tell(slot zinniayoke.Slot, key zinniayoke.Key, running zinniayoke.Tokens) zinniayoke.Tokens {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s, ok := k.slots[slot]
+	if !ok {
+		return 0
+	}
+	e, ok := s.keys[key]
+	if !ok {
+		return 0
+	}
+	fresh := max(e.used+running-e.told, 0)
+	e.told += fresh
+	return fresh
+}
+
 // Learn notes what a worker's node said about an attempt that was uncertain.
 func (k *Keeper) Learn(now time.Time, slot zinniayoke.Slot, key zinniayoke.Key, id zinniayoke.AttemptID, told *zinniayoke.AskReply) {
 	k.mu.Lock()
--- a/core/zyentry/entry.go
+++ b/core/zyentry/entry.go
@@ -50,7 +50,8 @@
 type Result struct {
 	Reply   *zinniayoke.Reply
 	Request zinniayoke.RequestID
-	// Attempts is how many sends the request has caused in its whole chain.
+	// Attempts is how many sends the request has caused in its whole chain; with a
+	// key, those that no reply to an earlier send of the key has told of.
 	Attempts zinniayoke.Tokens
 }
 
@@ -147,6 +148,9 @@
 	if j.pool != nil {
 		result.Attempts = j.granted - j.pool.Left()
 	}
+	if j.call.OwnKey {
+		result.Attempts = reply.Spent
+	}
 	return result
 }
 
--- a/core/zyhome/home.go
+++ b/core/zyhome/home.go
@@ -87,7 +87,9 @@
 
 // shared is a run that several sends of its key wait for.
 type shared struct {
-	done  chan struct{}
+	done chan struct{}
+	// pool holds what the run may still use of its tokens.
+	pool  *zyattempt.Pool
 	reply *zinniayoke.Reply
 }
 
@@ -101,6 +103,19 @@
 // Run answers a request with a key, running it at most once. The reply names
 // the attempt that ran, and the request that caused it.
 func (h *Home) Run(ctx context.Context, c *zinniayoke.Call, route *zybundle.Route) *zinniayoke.Reply {
+	reply := *h.decide(ctx, c, route)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	running := zinniayoke.Tokens(0)
+	if s, ok := h.joined[c.Key]; ok {
+		running = s.pool.Sends() // What they use further down is known when they end.
+	}
+	reply.Spent = h.cfg.Keeper.Tell(zyclaim.SlotOf(h.cfg.Domain, c.Key), c.Key, running)
+	return &reply
+}
+
+// decide finds the reply to a send.
+func (h *Home) decide(ctx context.Context, c *zinniayoke.Call, route *zybundle.Route) *zinniayoke.Reply {
 	slot := zyclaim.SlotOf(h.cfg.Domain, c.Key)
 	for ctx.Err() == nil {
 		if !h.mine(slot) || !h.isHome(c.Caller) {
@@ -114,7 +129,7 @@
 		}
 		h.mu.Lock()
 		d := h.cfg.Keeper.Claim(time.Now(), slot, c.Key, c.BodyHash, c.Tokens)
-		s := h.join(c, d)
+		s := h.join(c, d, route)
 		h.mu.Unlock()
 		reply, again := h.follow(ctx, c, route, d, s)
 		if !again {
@@ -126,10 +141,10 @@
 
 // join returns the shared run that belongs to a decision. The lock is held, so
 // that a run ends either before the claim or after the join.
-func (h *Home) join(c *zinniayoke.Call, d zyclaim.Decision) *shared {
+func (h *Home) join(c *zinniayoke.Call, d zyclaim.Decision, route *zybundle.Route) *shared {
 	switch d.Step {
 	case zyclaim.StepRun:
-		s := &shared{done: make(chan struct{})}
+		s := &shared{done: make(chan struct{}), pool: zyattempt.NewPool(d.Tokens, 1+route.Calls)}
 		h.joined[c.Key] = s
 		return s
 	case zyclaim.StepJoin:
@@ -190,15 +205,14 @@
 	defer h.active.Done()
 	ctx, cancel := context.WithDeadline(context.Background(), c.Deadline)
 	defer cancel()
-	pool := zyattempt.NewPool(d.Tokens, 1+route.Calls)
 	reply := h.cfg.Sender.Do(ctx, zyegress.Send{
-		Call: c, Route: route, Pool: pool, Grant: d.Grant,
+		Call: c, Route: route, Pool: s.pool, Grant: d.Grant,
 		Before: func(id zinniayoke.AttemptID, to zinniayoke.NodeID) bool {
 			return h.decides(d.Grant) && h.copied(ctx, c, d.Grant, id, to) && h.cfg.Keeper.Sent(time.Now(), d.Grant, c.Key, id, to)
 		},
 		Avoid: []zinniayoke.NodeID{h.cfg.Node},
 	})
-	left := pool.Close()
+	left := s.pool.Close()
 	reply.Unused = left
 	if reply.Outcome == zinniayoke.OutcomeNotRun && !h.decides(d.Grant) {
 		// Another keeper may have run the key meanwhile.
--- a/io/zynode/join.go
+++ b/io/zynode/join.go
@@ -20,7 +20,7 @@
 	// Nodes that start together may meet in groups that do not know each other, so
 	// the meeting place is looked at again, ever less often.
 	firstRejoin = 1 * time.Second
-	lastRejoin  = 10 * time.Second
+	lastRejoin  = 16 * time.Second
 	// readsPerSecond is what all nodes together read of the meeting place in the
 	// long run, a thousandth of what the store allows.
 	readsPerSecond = 2
--- a/message.go
+++ b/message.go
@@ -121,6 +121,9 @@
 	RetryAfter time.Duration `codec:"af"`
 	// Unused tokens go back to the sender.
 	Unused Tokens `codec:"un"`
+	// Spent is how many attempts a key has used that no earlier reply has told of.
+	// Unused counts what may still be used as used; Spent does not.
+	Spent Tokens `codec:"sp"`
 	// Threshold is the lowest rank that the worker and those below it admit now.
 	Threshold Rank `codec:"th"`
 	// Load is the share of its concurrency limit that the worker uses, in percent.
