--- /dev/null
+++ b/cmd/zinniayoke/explain.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"bufio"
+	"compress/gzip"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"zinniayoke/core/zyexplain"
+)
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "tell from the logs of nodes what became of a request, and why",
+		ArgsUsage: "REQUEST [FILE...]",
+		Description: "Reads the logs of all given files, plain or gzip, or of standard input.\n" +
+			"Example: zinniayoke explain 9c41d07be2a35f68 /var/log/zinniayoke/*.log.gz\n" +
+			"It exits with 1 where no line names the request.",
+		Action: runExplain,
+	}
+}
+
+// errNoRequest says that the command line names no request.
+var errNoRequest = errors.New("explain: the id of a request is required")
+
+func runExplain(_ context.Context, c *cli.Command) error {
+	if c.Args().Len() == 0 {
+		return errNoRequest
+	}
+	reader := zyexplain.NewReader(c.Args().First())
+	files := c.Args().Tail()
+	if len(files) == 0 {
+		if err := readLog(reader, "standard input", os.Stdin); err != nil {
+			return err
+		}
+	}
+	for _, name := range files {
+		file, err := os.Open(name)
+		if err != nil {
+			return fmt.Errorf("explain: %w", err)
+		}
+		err = readLog(reader, name, file)
+		_ = file.Close()
+		if err != nil {
+			return err
+		}
+	}
+	story, err := reader.Story()
+	if err != nil {
+		return err
+	}
+	printStory(c.Root().Writer, story)
+	return nil
+}
+
+// readLog reads a log that may be compressed.
+func readLog(reader *zyexplain.Reader, name string, in io.Reader) error {
+	buffered := bufio.NewReader(in)
+	magic, err := buffered.Peek(2)
+	if err == nil && magic[0] == 0x1f && magic[1] == 0x8b {
+		unzipped, err := gzip.NewReader(buffered)
+		if err != nil {
+			return fmt.Errorf("explain: %s: %w", name, err)
+		}
+		return reader.Read(name, unzipped)
+	}
+	return reader.Read(name, buffered)
+}
+
+func printStory(w io.Writer, s *zyexplain.Story) {
+	_, _ = fmt.Fprintf(w, "request %s\n", s.Request)
+	for _, l := range s.Lines {
+		_, _ = fmt.Fprintln(w, lineText(l))
+	}
+	if len(s.Context) > 0 {
+		_, _ = fmt.Fprintln(w, "believed shortly before:")
+	}
+	for _, l := range s.Context {
+		_, _ = fmt.Fprintf(w, "  %s %s: %s %s %s\n", clock(l), l.Source, l.Event, l.Node, l.Detail)
+	}
+	_, _ = fmt.Fprintln(w, s.Cause)
+}
+
+func clock(l zyexplain.Line) string {
+	return l.Time.Format("15:04:05.000000")
+}
+
+func lineText(l zyexplain.Line) string {
+	text := fmt.Sprintf("  %s %s: %s", clock(l), l.Source, l.Event)
+	add := func(name string, value any, there bool) {
+		if there {
+			text += fmt.Sprintf(" %s=%v", name, value)
+		}
+	}
+	add("call", l.Request, l.Parent != "")
+	add("service", l.Service, l.Service != "")
+	add("node", l.Node, l.Node != "")
+	add("instance", l.Instance, l.Instance != "")
+	add("outcome", l.Outcome, l.Outcome != "")
+	add("reason", l.Reason, l.Reason != "")
+	add("status", l.Status, l.Status != 0)
+	add("version", l.Version, l.Version != 0)
+	add("waited", time.Duration(l.WaitedUs)*time.Microsecond, l.WaitedUs != 0)
+	add("took", time.Duration(l.TookUs)*time.Microsecond, l.TookUs != 0)
+	add("slots", fmt.Sprintf("%d/%d+%d", l.Running, l.Limit, l.Waiting), l.Limit != 0)
+	add("again", l.Again, l.Again)
+	add("detail", fmt.Sprintf("%q", l.Detail), l.Detail != "")
+	return text
+}
--- a/cmd/zinniayoke/main.go
+++ b/cmd/zinniayoke/main.go
@@ -26,7 +26,7 @@
 		Name:  "zinniayoke",
 		Usage: "overload control for service call graphs",
 		Commands: []*cli.Command{
-			nodeCommand(), bundleCommand(), keyCommand(), loadCommand(), demoCommand(), standinCommand(), experimentCommand(),
+			nodeCommand(), bundleCommand(), keyCommand(), loadCommand(), demoCommand(), standinCommand(), experimentCommand(), explainCommand(),
 		},
 	}
 	if err := app.Run(ctx, os.Args); err != nil {
--- a/core/zyentry/entry.go
+++ b/core/zyentry/entry.go
@@ -160,6 +160,9 @@
 		Reason: reply.Reason, Outcome: reply.Outcome, Version: j.call.Version, Rank: j.call.Rank, Depth: j.call.Depth,
 		Threshold: j.threshold, Took: took, Detail: reply.Detail,
 	}
+	if j.parent != nil {
+		event.Parent = j.parent.Request
+	}
 	if reply.Answer != nil {
 		event.Status = reply.Answer.Status
 	}
--- /dev/null
+++ b/core/zyexplain/story.go
@@ -0,0 +1,215 @@
+// Package zyexplain tells from the log lines of many nodes what became of one
+// request, and why.
+package zyexplain
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Line is one line of a node's log. Fields that a line lacks are zero.
+type Line struct {
+	Time     time.Time `json:"time"`
+	Event    string    `json:"event"`
+	Request  string    `json:"request"`
+	Parent   string    `json:"parent"`
+	Attempt  string    `json:"attempt"`
+	Route    string    `json:"route"`
+	Service  string    `json:"service"`
+	Node     string    `json:"node"`
+	Instance string    `json:"instance"`
+	Outcome  string    `json:"outcome"`
+	Reason   string    `json:"reason"`
+	Version  uint64    `json:"version"`
+	Status   int       `json:"status"`
+	LeftMs   int64     `json:"leftMs"`
+	WaitedUs int64     `json:"waitedUs"`
+	TookUs   int64     `json:"tookUs"`
+	Limit    int       `json:"limit"`
+	Running  int       `json:"running"`
+	Waiting  int       `json:"waiting"`
+	Again    bool      `json:"again"`
+	Detail   string    `json:"detail"`
+	Message  string    `json:"msg"`
+	// Source is the file that the line comes from.
+	Source string `json:"-"`
+}
+
+// Story is what the logs tell of one request.
+type Story struct {
+	Request string
+	// Lines are those of the request, and of calls that its worker made, by time.
+	Lines []Line
+	// Context holds changes of belief shortly before the request ended.
+	Context []Line
+	// Cause says in a sentence how the request ended and why.
+	Cause string
+}
+
+// NotFoundError says that no line names a request.
+type NotFoundError struct {
+	Request string
+	Read    int
+}
+
+// Error names the request.
+func (e *NotFoundError) Error() string {
+	return fmt.Sprintf("none of %d lines names request %s: it went well and was not sampled, its kind of failure was over the limit of lines, or it came to other nodes", e.Read, e.Request)
+}
+
+const (
+	longestLine = 1 << 20
+	// contextTime is how long before the end of a request changes of belief count.
+	contextTime = 3 * time.Second
+	mostContext = 20
+)
+
+// Reader gathers the lines of one request. A Reader must be made with NewReader.
+type Reader struct {
+	request string
+	read    int
+	lines   []Line
+	beliefs []Line
+}
+
+// NewReader returns a reader for a request.
+func NewReader(request string) *Reader {
+	return &Reader{request: request}
+}
+
+// Read takes in a log. Text before the first brace of a line, such as the prefix
+// of a collector, is left out; lines that are no JSON are passed over.
+func (r *Reader) Read(source string, in io.Reader) error {
+	scanner := bufio.NewScanner(in)
+	scanner.Buffer(nil, longestLine)
+	for scanner.Scan() {
+		raw := scanner.Bytes()
+		start := bytes.IndexByte(raw, '{')
+		if start < 0 {
+			continue
+		}
+		var line Line
+		if json.Unmarshal(raw[start:], &line) != nil {
+			continue
+		}
+		r.read++
+		line.Source = source
+		if prefix := strings.Fields(string(raw[:start])); len(prefix) > 0 {
+			line.Source = prefix[len(prefix)-1]
+		}
+		r.take(line)
+	}
+	if err := scanner.Err(); err != nil && !errors.Is(err, io.ErrUnexpectedEOF) {
+		return fmt.Errorf("%s: %w", source, err)
+	}
+	return nil
+}
+
+func (r *Reader) take(line Line) {
+	switch {
+	case line.Request == r.request || line.Parent == r.request:
+		r.lines = append(r.lines, line)
+	case line.Request == "" && line.Event != "":
+		r.beliefs = append(r.beliefs, line)
+	}
+}
+
+// Story returns what was found. The error is a *NotFoundError.
+func (r *Reader) Story() (*Story, error) {
+	if len(r.lines) == 0 {
+		return nil, &NotFoundError{Request: r.request, Read: r.read}
+	}
+	byTime := func(a, b Line) int { return a.Time.Compare(b.Time) }
+	slices.SortStableFunc(r.lines, byTime)
+	slices.SortStableFunc(r.beliefs, byTime)
+	s := &Story{Request: r.request, Lines: r.lines}
+	end := r.lines[len(r.lines)-1].Time
+	for _, b := range r.beliefs {
+		if !b.Time.After(end) && end.Sub(b.Time) <= contextTime && len(s.Context) < mostContext {
+			s.Context = append(s.Context, b)
+		}
+	}
+	s.Cause = s.cause()
+	return s, nil
+}
+
+// cause finds the sentence for the request's end.
+func (s *Story) cause() string {
+	var ended, refused, run, child *Line
+	for i := range s.Lines {
+		l := &s.Lines[i]
+		switch {
+		case l.Parent == s.Request && l.Request != s.Request:
+			if l.Outcome != "done" || l.Status >= 500 {
+				child = l
+			}
+		case l.Event == "callEnded":
+			ended = l
+		case l.Event == "attemptRefused":
+			refused = l
+		case l.Event == "attemptRun":
+			run = l
+		}
+	}
+	if ended == nil {
+		return "The entry has not told how the request ended; the last that is known: " + s.Lines[len(s.Lines)-1].Event + "."
+	}
+	return sentence(ended, refused, run, child)
+}
+
+func sentence(ended, refused, run, child *Line) string {
+	took := time.Duration(ended.TookUs) * time.Microsecond
+	switch {
+	case ended.Outcome == "done" && ended.Status >= 500 && child != nil:
+		return fmt.Sprintf("The worker answered %d after %s since its call %s to %s ended %s because of %s (%s).",
+			ended.Status, took, child.Request, child.Service, child.Outcome, orNone(child.Reason), child.Detail)
+	case ended.Outcome == "done" && ended.Status >= 500:
+		return fmt.Sprintf("The worker %s answered %d after %s: its own failure, or that of a call it made.", instanceOf(run), ended.Status, took)
+	case ended.Outcome == "done":
+		return fmt.Sprintf("The request was answered with %d after %s.", ended.Status, took)
+	}
+	text := ended.Detail
+	switch ended.Reason {
+	case "noRoute":
+		return fmt.Sprintf("Refused: %s, in version %d of the bundle.", text, ended.Version)
+	case "notReady":
+		return "Refused: " + text + "."
+	case "shed":
+		if refused != nil {
+			return fmt.Sprintf("Refused, not run: the gate of %s had %d of %d slots in use and %d calls waiting.",
+				instanceOf(refused), refused.Running, refused.Limit, refused.Waiting)
+		}
+		return fmt.Sprintf("Refused at its entry, not run: %s, since a service that it leads to has no room.", text)
+	case "deadline":
+		if ended.Outcome == "notRun" {
+			return fmt.Sprintf("Its time ran out after %s before a worker had room; it has not run.", took)
+		}
+		return fmt.Sprintf("Its time ran out after %s at the worker %s, which may have run it.", took, instanceOf(run))
+	case "cancelled":
+		return fmt.Sprintf("Its caller left after %s.", took)
+	case "answerLost":
+		return fmt.Sprintf("Worker %s was handed the request and its whole answer did not come back: %s.", instanceOf(run), text)
+	}
+	return fmt.Sprintf("It ended %s because of %s: %s.", ended.Outcome, orNone(ended.Reason), text)
+}
+
+func orNone(reason string) string {
+	if reason == "" {
+		return "its answer"
+	}
+	return reason
+}
+
+func instanceOf(l *Line) string {
+	if l == nil || l.Instance == "" {
+		return "(not logged)"
+	}
+	return l.Instance
+}
--- /dev/null
+++ b/core/zyexplain/story_test.go
@@ -0,0 +1,93 @@
+package zyexplain_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"zinniayoke/core/zyexplain"
+)
+
+func TestCauses(t *testing.T) {
+	for _, c := range []struct {
+		name, log, want string
+	}{
+		{"shed at the entry",
+			`{"time":"2026-01-01T00:00:01Z","event":"callEnded","request":"r","outcome":"notRun","reason":"shed","detail":"40% of the route's calls are refused"}`,
+			"Refused at its entry, not run: 40%"},
+		{"shed at the gate",
+			`{"time":"2026-01-01T00:00:02Z","event":"callEnded","request":"r","outcome":"notRun","reason":"shed"}
+			 {"time":"2026-01-01T00:00:01Z","event":"attemptRefused","request":"r","instance":"i-1","reason":"shed","limit":12,"running":12,"waiting":7}`,
+			"the gate of i-1 had 12 of 12 slots in use and 7 calls waiting"},
+		{"worker lost",
+			`   4.03 sidecar-a {"time":"2026-01-01T00:00:02Z","event":"callEnded","request":"r","outcome":"unknown","reason":"answerLost","detail":"the worker broke off"}
+			 {"time":"2026-01-01T00:00:01Z","event":"attemptRun","request":"r","instance":"i-2","reason":"answerLost"}`,
+			"Worker i-2 was handed the request"},
+		{"no route",
+			`{"time":"2026-01-01T00:00:02Z","event":"callEnded","request":"r","outcome":"notRun","reason":"noRoute","version":7,"detail":"the host has no route for this path"}`,
+			"in version 7"},
+		{"a call of its worker failed",
+			`{"time":"2026-01-01T00:00:02Z","event":"callEnded","request":"r","outcome":"done","status":500,"tookUs":90000}
+			 {"time":"2026-01-01T00:00:01Z","event":"callEnded","request":"c","parent":"r","service":"deep","outcome":"notRun","reason":"shed","detail":"full"}`,
+			"since its call c to deep ended notRun because of shed"},
+		{"deadline in the queue",
+			`{"time":"2026-01-01T00:00:02Z","event":"callEnded","request":"r","outcome":"notRun","reason":"deadline","tookUs":1200000}`,
+			"before a worker had room"},
+		{"only an attempt",
+			`{"time":"2026-01-01T00:00:02Z","event":"attemptRun","request":"r"}`,
+			"has not told how the request ended"},
+	} {
+		r := zyexplain.NewReader("r")
+		if err := r.Read("log", strings.NewReader("not JSON\n{broken\n"+c.log)); err != nil {
+			t.Fatal(err)
+		}
+		s, err := r.Story()
+		if err != nil {
+			t.Errorf("%s: %v", c.name, err)
+			continue
+		}
+		if !strings.Contains(s.Cause, c.want) {
+			t.Errorf("%s: got %q, want %q", c.name, s.Cause, c.want)
+		}
+	}
+}
+
+func TestContextIsWhatWasBelievedBefore(t *testing.T) {
+	r := zyexplain.NewReader("r")
+	log := `{"time":"2026-01-01T00:00:10Z","event":"callEnded","request":"r","outcome":"notRun","reason":"noUpstream"}
+		{"time":"2026-01-01T00:00:09Z","event":"member","node":"n/1","detail":"dead"}
+		{"time":"2026-01-01T00:00:01Z","event":"member","node":"old/1","detail":"dead"}
+		{"time":"2026-01-01T00:00:11Z","event":"member","node":"later/1","detail":"dead"}
+		{"time":"2026-01-01T00:00:09Z","event":"callEnded","request":"another"}`
+	if err := r.Read("log", strings.NewReader(log)); err != nil {
+		t.Fatal(err)
+	}
+	s, err := r.Story()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(s.Lines) != 1 || len(s.Context) != 1 || s.Context[0].Node != "n/1" {
+		t.Errorf("got lines %+v and context %+v", s.Lines, s.Context)
+	}
+}
+
+func TestUnknownRequest(t *testing.T) {
+	_, err := zyexplain.NewReader("r").Story()
+	var missing *zyexplain.NotFoundError
+	if !errors.As(err, &missing) {
+		t.Errorf("got %v, want a NotFoundError", err)
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(`{"time":"2026-01-01T00:00:01Z","event":"callEnded","request":"r"}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		r := zyexplain.NewReader("r")
+		if err := r.Read("log", strings.NewReader(string(raw))); err != nil {
+			return
+		}
+		if s, err := r.Story(); err == nil && s.Cause == "" {
+			t.Error("a story without a cause")
+		}
+	})
+}
--- a/io/zylogger/journal.go
+++ b/io/zylogger/journal.go
@@ -40,6 +40,7 @@
 type limitKey struct {
 	kind   zinniayoke.EventKind
 	reason zinniayoke.Reason
+	status int
 }
 
 type limit struct {
@@ -69,7 +70,8 @@
 }
 
 func failed(e *zinniayoke.Event) bool {
-	return e.Reason != zinniayoke.ReasonNone
+	const serverFault = 500
+	return e.Reason != zinniayoke.ReasonNone || e.Status >= serverFault
 }
 
 // allow takes a line from the limit of its kind, and now and then reports how
@@ -87,7 +89,7 @@
 	if e.Request == "" || Sampled(e.Request) {
 		return true
 	}
-	key := limitKey{kind: e.Kind, reason: e.Reason}
+	key := limitKey{kind: e.Kind, reason: e.Reason, status: e.Status}
 	l, ok := j.limits[key]
 	if !ok {
 		l = &limit{rate.NewLimiter(linesPerSecond, lineBurst)}
@@ -109,6 +111,7 @@
 	b = append(b, e.Kind.String()...)
 	b = append(b, '"')
 	b = appendText(b, "request", string(e.Request))
+	b = appendText(b, "parent", string(e.Parent))
 	b = appendText(b, "attempt", string(e.Attempt))
 	b = appendText(b, "route", string(e.Route))
 	b = appendText(b, "service", string(e.Service))
--- a/journal.go
+++ b/journal.go
@@ -31,6 +31,8 @@
 type Event struct {
 	Kind    EventKind
 	Request RequestID
+	// Parent is the request whose worker made the call, "" where that is not known.
+	Parent  RequestID
 	Attempt AttemptID
 	Route   RouteName
 	Service Service
