zypressure, zyentry: refused calls come back within their objective, and first

Change: Retry-After is 0.15 to 0.4 of the objective; calls that gates refuse are remembered too; one that has come back waits twice as long. The refusal names the service and the share that it has no room for.

--- a/core/zyentry/entry.go
+++ b/core/zyentry/entry.go
@@ -107,8 +107,6 @@
 	pool *zyattempt.Pool
 	// threshold is the one that the call was shed by.
 	threshold zinniayoke.Rank
-	// refused is the share of the route's calls that the door refuses.
-	refused float64
 	// granted is how many attempts the call was given.
 	granted zinniayoke.Tokens
 }
@@ -141,6 +139,12 @@
 		told.Outcome = zinniayoke.OutcomeUnknown
 		reply = &told
 	}
+	if reply.Outcome == zinniayoke.OutcomeNotRun && e.cfg.Pressure != nil && j.route != nil && !j.kin {
+		told := *reply
+		told.RetryAfter = returnAfter(j)
+		reply = &told
+		e.cfg.Pressure.Refused(time.Now(), j.call.BodyHash)
+	}
 	took := time.Since(start)
 	e.cfg.Meter.Call(sampleOf(j, reply, took))
 	e.note(j, reply, took)
@@ -166,6 +170,9 @@
 	if reply.Answer != nil {
 		event.Status = reply.Answer.Status
 	}
+	if event.Version == 0 && j.rules != nil {
+		event.Version = j.rules.Version
+	}
 	if !j.call.Deadline.IsZero() {
 		event.Left = time.Until(j.call.Deadline)
 	}
--- a/core/zyentry/filter.go
+++ b/core/zyentry/filter.go
@@ -293,16 +293,37 @@
 	if j.kin {
 		return nil
 	}
-	admitted, refused := e.cfg.Pressure.Admit(now, j.route, j.call.Request, j.call.BodyHash)
-	if admitted {
+	v := e.cfg.Pressure.Admit(now, j.route, j.call.Request, j.call.BodyHash)
+	if v.Admitted {
+		if v.Returned {
+			j.call.Patience *= returnPatience
+		}
 		return nil
 	}
-	j.refused = refused
-	refusal := zinniayoke.Refuse(zinniayoke.ReasonShed, fmt.Sprintf("%.0f%% of the route's calls are refused", 100*refused))
-	refusal.RetryAfter = retryAfter(j.call)
+	const percent = 100
+	refusal := zinniayoke.Refuse(zinniayoke.ReasonShed, fmt.Sprintf(
+		"%.0f%% of the route's calls are refused, since %s has no room for %.0f%% of what is asked of it",
+		percent*v.Share, v.Service, percent*v.Lacking))
+	refusal.RetryAfter = returnAfter(j)
 	return refusal
 }
 
+// returnPatience lets a call that has come back wait longer than one that comes
+// first.
+const returnPatience = 2
+
+// returnAfter spreads the returns of refused calls over a part of the objective,
+// so that one that finds room then is still in time.
+func returnAfter(j *job) time.Duration {
+	const least, spread = 0.15, 0.25
+	if j.route == nil || j.route.Objective <= 0 {
+		return retryAfter(j.call)
+	}
+	const scale = 1 << 16
+	at := float64(xxhash.Sum64String(string(j.call.Request))%scale) / scale
+	return time.Duration((least + spread*at) * float64(j.route.Objective))
+}
+
 // retryAfter spreads the re-sends of refused callers.
 func retryAfter(c *zinniayoke.Call) time.Duration {
 	const least, spread = 500 * time.Millisecond, time.Second
--- a/core/zyexplain/story.go
+++ b/core/zyexplain/story.go
@@ -47,7 +47,7 @@
 	Request string
 	// Lines are those of the request, and of calls that its worker made, by time.
 	Lines []Line
-	// Context holds changes of belief shortly before the request ended.
+	// Context holds what the entry came to believe shortly before the request ended.
 	Context []Line
 	// Cause says in a sentence how the request ended and why.
 	Cause string
@@ -68,7 +68,7 @@
 	longestLine = 1 << 20
 	// contextTime is how long before the end of a request changes of belief count.
 	contextTime = 3 * time.Second
-	mostContext = 20
+	mostContext = 8
 )
 
 // Reader gathers the lines of one request. A Reader must be made with NewReader.
@@ -130,12 +130,18 @@
 	slices.SortStableFunc(r.lines, byTime)
 	slices.SortStableFunc(r.beliefs, byTime)
 	s := &Story{Request: r.request, Lines: r.lines}
-	end := r.lines[len(r.lines)-1].Time
+	last := r.lines[len(r.lines)-1]
+	for _, l := range r.lines {
+		if l.Event == "callEnded" && l.Request == r.request {
+			last = l
+		}
+	}
 	for _, b := range r.beliefs {
-		if !b.Time.After(end) && end.Sub(b.Time) <= contextTime && len(s.Context) < mostContext {
+		if b.Source == last.Source && !b.Time.After(last.Time) && last.Time.Sub(b.Time) <= contextTime {
 			s.Context = append(s.Context, b)
 		}
 	}
+	s.Context = s.Context[max(len(s.Context)-mostContext, 0):]
 	s.Cause = s.cause()
 	return s, nil
 }
--- a/core/zypressure/door.go
+++ b/core/zypressure/door.go
@@ -80,33 +80,55 @@
 	}
 }
 
-// Admit counts a call of the route and reports whether it may enter, with the
-// share of the route's calls that may not. Content tells equal calls: one that
-// was refused and comes back goes before those that come first.
-func (d *Door) Admit(now time.Time, r *zybundle.Route, id zinniayoke.RequestID, content uint64) (bool, float64) {
+// Verdict is what the door says to a call.
+type Verdict struct {
+	Admitted bool
+	// Returned is true for a call that was refused lately and has come back.
+	Returned bool
+	// Share of the route's calls is refused since Service has no room for Lacking of
+	// what is asked of it.
+	Share   float64
+	Service zinniayoke.Service
+	Lacking float64
+}
+
+// Admit counts a call of the route and says whether it may enter. Content tells
+// equal calls: one that was refused and comes back goes before those that come
+// first.
+func (d *Door) Admit(now time.Time, r *zybundle.Route, id zinniayoke.RequestID, content uint64) Verdict {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	o, ok := d.routes[r.Name]
 	if !ok {
 		if len(d.routes) >= mostRoutes {
-			return true, 0
+			return Verdict{Admitted: true}
 		}
 		o = &offer{since: now}
 		d.routes[r.Name] = o
 	}
 	o.importance = r.Class.Importance
 	o.arrive(now)
-	refused := 0.0
+	v := Verdict{Returned: d.refused.take(now, content)}
 	for service := range o.costs {
-		refused = max(refused, d.refusedBy(now, service, o))
+		if share := d.refusedBy(now, service, o); share > v.Share {
+			v.Share, v.Service, v.Lacking = share, service, d.share(now, service)
+		}
 	}
 	const scale = 1 << 20
 	at := float64(xxhash.Sum64String(string(id))%scale) / scale
-	if at >= refused || d.refused.take(now, content) && refused < returnShare {
-		return true, refused
+	v.Admitted = at >= v.Share || v.Returned && v.Share < returnShare
+	if !v.Admitted {
+		d.refused.add(now, content)
 	}
+	return v
+}
+
+// Refused notes a call that was let in and found no room, so that it goes first
+// when it comes back.
+func (d *Door) Refused(now time.Time, content uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.refused.add(now, content)
-	return false, refused
 }
 
 // returnShare is the share of refused calls from which on calls that come back
--- a/core/zypressure/door_test.go
+++ b/core/zypressure/door_test.go
@@ -36,9 +36,9 @@
 		ask := func(r *zybundle.Route, n int) {
 			for range n {
 				id++
-				ok, _ := d.Admit(now, r, zinniayoke.RequestID(fmt.Sprint(id)), uint64(id))
+				v := d.Admit(now, r, zinniayoke.RequestID(fmt.Sprint(id)), uint64(id))
 				asked[string(r.Name)]++
-				if !ok {
+				if !v.Admitted {
 					refused[string(r.Name)]++
 				}
 			}
@@ -80,12 +80,12 @@
 	again := 0
 	for i := range 200 {
 		id, content := zinniayoke.RequestID(fmt.Sprint(i)), uint64(i+1)
-		if ok, _ := d.Admit(now, r, id, content); ok {
+		if d.Admit(now, r, id, content).Admitted {
 			continue
 		}
 		again++
-		if ok, _ := d.Admit(now.Add(300*time.Millisecond), r, id+"again", content); !ok {
-			t.Errorf("call %d was refused when it came back", i)
+		if v := d.Admit(now.Add(300*time.Millisecond), r, id+"again", content); !v.Admitted || !v.Returned {
+			t.Errorf("call %d was refused when it came back: %+v", i, v)
 		}
 	}
 	if again < 50 {
@@ -99,10 +99,25 @@
 	r := route("lookup", 125)
 	d.Admit(now, r, "first", 0)
 	d.Learn(now, r.Name, []zinniayoke.Burden{{Service: "deep", Cost: 1, Share: 0.9}})
-	if _, share := d.Admit(now, r, "a", 1); share < 0.5 {
-		t.Errorf("%.2f is refused at once, want most", share)
+	if v := d.Admit(now, r, "a", 1); v.Share < 0.5 || v.Service != "deep" {
+		t.Errorf("%+v at once, want most refused for the deep service", v)
 	}
-	if _, share := d.Admit(now.Add(3*time.Second), r, "b", 2); share != 0 {
-		t.Errorf("%.2f is refused 3 s after the last word, want nothing", share)
+	if v := d.Admit(now.Add(3*time.Second), r, "b", 2); v.Share != 0 {
+		t.Errorf("%+v 3 s after the last word, want nothing refused", v)
+	}
+}
+
+// TestRefusedDeeperGoesFirstToo lets a call in that is refused by a gate.
+func TestRefusedDeeperGoesFirstToo(t *testing.T) {
+	d := zypressure.NewDoor()
+	now := time.Now()
+	r := route("lookup", 125)
+	d.Admit(now, r, "first", 7)
+	d.Refused(now, 7)
+	if v := d.Admit(now.Add(time.Second), r, "again", 7); !v.Returned {
+		t.Errorf("%+v, want a call that has come back", v)
+	}
+	if v := d.Admit(now.Add(time.Second), r, "third", 7); v.Returned {
+		t.Errorf("%+v, want a call that is taken as new the next time", v)
 	}
 }
