zynode: end a planned stop before the grace ends

Change: calls in flight have 0.85 of the grace, since the platform excuses only what is at work in its last sixth; each later part waits 150 ms at most.

--- a/io/zynode/stop.go
+++ b/io/zynode/stop.go
@@ -13,7 +13,7 @@
 // truthfully, finishes what is in flight and hands over what it remembers.
 func (n *Node) Stop(ctx context.Context) error {
 	n.log.Info("The node is stopping.")
-	ctx, cancel := context.WithTimeout(ctx, n.settings.Load().Shutdown.Grace*graceShare/10)
+	ctx, cancel := context.WithTimeout(ctx, n.settings.Load().Shutdown.Grace*graceShare/percent)
 	defer cancel()
 	for _, sub := range n.subs {
 		sub.Cancel()
@@ -33,9 +33,30 @@
 	return errors.Join(failures...)
 }
 
-// graceShare is the tenths of the grace after which the node ends what is left,
-// so that it is gone before it is killed.
-const graceShare = 8
+const (
+	percent = 100
+	// graceShare is the part of the grace, in percent, that calls in flight have. The
+	// platform excuses only what is still at work in the last sixth.
+	graceShare = 85
+	// closeTime bounds each part of the end that waits for others, so that the
+	// process is gone before it is killed.
+	closeTime = 150 * time.Millisecond
+)
+
+// within runs f and waits for it for at most closeTime.
+func within(f func()) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f()
+	}()
+	timer := time.NewTimer(closeTime)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	}
+}
 
 // handOver gives what this node remembers of keys to its heirs. Only then it
 // leaves the list as planned; else it is lost for those who ask for keys.
@@ -72,11 +93,11 @@
 	for _, server := range n.https {
 		_ = server.Close()
 	}
-	n.gossip.Close()
-	n.server.Close()
-	n.client.Close()
+	within(n.gossip.Close)
+	within(n.server.Close) // Calls at the worker may go on for long.
+	within(n.client.Close)
 	n.receiver.Close()
-	n.timer.Stop()
+	within(n.timer.Stop)
 	n.lines.Close()
 }
 
