--- a/cmd/zinniayoke/demo.go
+++ b/cmd/zinniayoke/demo.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"zinniayoke/io/zydemo"
+	"zinniayoke/platform/zyday"
 )
 
 // errBroken says that a demo saw a broken promise.
@@ -26,6 +27,7 @@
 			&cli.StringFlag{Name: "deployment", Value: "hollander", Usage: "hollander or tabighi"},
 			&cli.DurationFlag{Name: "duration", Value: usualDuration, Usage: "time of the three phases together"},
 			&cli.BoolFlag{Name: "faults", Usage: "add failures to the surge: log down, host lost, worker restarted"},
+			&cli.BoolFlag{Name: "platform", Usage: "play a calm day on a stand-in of the users' platform instead"},
 			&cli.BoolFlag{Name: "json", Usage: "print the report as JSON"},
 			&cli.BoolFlag{Name: "logs", Usage: "show the logs of the nodes"},
 		},
@@ -33,7 +35,28 @@
 	}
 }
 
+// runDay plays a calm day on the platform's stand-in.
+func runDay(ctx context.Context, c *cli.Command) error {
+	const perSecond = 200
+	cfg := zyday.Config{Duration: c.Duration("duration"), PerSecond: perSecond, Logs: io.Discard}
+	if c.Bool("logs") {
+		cfg.Logs = os.Stderr
+	}
+	report, err := zyday.Run(ctx, cfg)
+	if err != nil {
+		return fmt.Errorf("demo: %w", err)
+	}
+	report.Print(os.Stdout)
+	if len(report.Broken) > 0 {
+		return errBroken
+	}
+	return nil
+}
+
 func runDemo(ctx context.Context, c *cli.Command) error {
+	if c.Bool("platform") {
+		return runDay(ctx, c)
+	}
 	cfg := zydemo.Config{Deployment: c.String("deployment"), Duration: c.Duration("duration"), Logs: io.Discard, Progress: os.Stderr, Faults: c.Bool("faults")}
 	if c.Bool("logs") {
 		cfg.Logs = os.Stderr
--- a/io/zynode/state.go
+++ b/io/zynode/state.go
@@ -95,6 +95,7 @@
 			Namespace: "zinniayoke", Name: name, Help: help,
 		}, read))
 	}
+	n.registry.MustRegister(newWorkerCount(n))
 	gauge("bundle_version", "Version of the bundle in force.", func() float64 { return float64(n.book.Version()) })
 	gauge("members_alive", "Nodes that are there.", func() float64 { return float64(len(n.view.Others()) + 1) })
 	gauge("keys_kept", "Keys that this node keeps.", func() float64 { return float64(n.keeper.Len()) })
