zyadmission, zypressure, zygraph: stay below the knee, count demand once, judge less often

Change: the gate uses 0.94 of the slots; a repeat of a refused attempt is no demand; burdens are told once in 10 ms and the door judges a route once in 20 ms.

--- a/core/zyadmission/gate.go
+++ b/core/zyadmission/gate.go
@@ -41,13 +41,16 @@
 type Config struct {
 	// Slots is the number of calls that the worker announced it runs at once.
 	Slots int
-	// Fixed keeps the limit at the announced slots.
+	// Fixed keeps the limit a little below the announced slots.
 	Fixed bool
 	// QueuePerSlot is how many calls may wait for each that runs; 0 means 1.
 	QueuePerSlot int
 }
 
 const (
+	// fullShare of the slots are used: some workers of the platform slow down by a
+	// third in their last twentieth, which costs more than it holds.
+	fullShare     = 0.94
 	queuePerSlot  = 1
 	shortestQueue = 4
 	longestQueue  = 512
@@ -117,7 +120,7 @@
 // Limit returns how many calls may run at once now.
 func (g *Gate) Limit() int {
 	if g.cfg.Fixed {
-		return max(g.cfg.Slots, 1)
+		return max(int(fullShare*float64(g.cfg.Slots)), 1)
 	}
 	return g.limit.Value()
 }
--- a/core/zyegress/sender.go
+++ b/core/zyegress/sender.go
@@ -267,7 +267,7 @@
 
 func (s *Sender) judge(content zysuspect.Print) zysuspect.Verdict {
 	rules := s.cfg.Rules()
-	if rules == nil || rules.Released[content.String()] {
+	if rules == nil || len(rules.Released) > 0 && rules.Released[content.String()] {
 		return zysuspect.RunFreely
 	}
 	return s.cfg.Suspects.Judge(time.Now(), content, rules.QuarantineFor)
@@ -280,6 +280,7 @@
 		Method: c.Method, Host: c.Host, Path: c.Path, Query: c.Query, Headers: c.Headers, Body: c.Body,
 		BodyHash: c.BodyHash, Key: c.Key, Grant: f.Grant, Rank: c.Rank, Left: time.Until(c.Deadline),
 		Tokens: share, Depth: c.Depth, Version: c.Version, Patience: c.Patience,
+		Again: f.refused > 0,
 	}
 }
 
--- a/core/zyentry/filter.go
+++ b/core/zyentry/filter.go
@@ -124,15 +124,15 @@
 	now := time.Now()
 	c := j.call
 	c.Patience = time.Duration(rootPatience * float64(j.route.Objective))
+	if !e.cfg.Graph.Kin(c.Route) {
+		return
+	}
 	parent, matched := e.cfg.Parents.Match(j.in.Arrived.Add(j.in.Timeout))
 	if !matched {
 		e.cfg.Graph.Call(now, c.Route, "")
 	} else {
 		e.cfg.Graph.Call(now, c.Route, parent.Route)
 	}
-	if !e.cfg.Graph.Kin(c.Route) {
-		return
-	}
 	j.kin = true
 	c.Depth = 1
 	left := min(j.in.Timeout, j.route.Timeout)
@@ -256,7 +256,7 @@
 func (e *Entry) refuseQuarantined(next step) step {
 	return func(ctx context.Context, j *job) (*zinniayoke.Reply, error) {
 		content := zysuspect.Print(j.call.BodyHash)
-		if j.rules.Released[content.String()] {
+		if len(j.rules.Released) > 0 && j.rules.Released[content.String()] {
 			return next(ctx, j)
 		}
 		if e.cfg.Suspects.Judge(time.Now(), content, j.rules.QuarantineFor) == zysuspect.RunNever {
--- a/core/zygraph/graph.go
+++ b/core/zygraph/graph.go
@@ -29,11 +29,14 @@
 	halved time.Time
 }
 
+// tellPeriod is how often the burdens of a route are told at most. They change
+// over hundreds of milliseconds, and a busy node answers a thousand calls a second.
+const tellPeriod = 10 * time.Millisecond
+
 // calls is what is known of a route that the worker calls.
 type calls struct {
 	// kin is what the nodes of the called workers say: that only workers call it.
 	kin     bool
-	told    bool
 	count   float64
 	matched map[zinniayoke.RouteName]float64
 	burdens map[zinniayoke.Service]burden
@@ -48,6 +51,7 @@
 type runs struct {
 	count float64
 	cost  float64
+	told  time.Time
 }
 
 // New returns a graph that has seen nothing.
@@ -112,7 +116,7 @@
 	if c == nil {
 		return
 	}
-	c.kin, c.told = kin, true
+	c.kin = kin
 	for _, b := range burdens {
 		if old, ok := c.burdens[b.Service]; ok && now.Sub(old.at) < forgetTime {
 			const weight = 0.25
@@ -139,6 +143,21 @@
 	known.cost += costWeight * (held.Seconds() - known.cost)
 }
 
+// Tell returns what Burdens does, or nothing where that was told just before.
+func (g *Graph) Tell(now time.Time, own zinniayoke.Service, r zinniayoke.RouteName, share float64) []zinniayoke.Burden {
+	g.mu.Lock()
+	known, ok := g.runs[r]
+	due := ok && now.Sub(known.told) >= tellPeriod
+	if due {
+		known.told = now
+	}
+	g.mu.Unlock()
+	if !due {
+		return nil
+	}
+	return g.Burdens(now, own, r, share)
+}
+
 // Burdens returns what a call of the route costs the own service, with the share
 // that it has no room for, and each service that its run calls.
 func (g *Graph) Burdens(now time.Time, own zinniayoke.Service, r zinniayoke.RouteName, share float64) []zinniayoke.Burden {
--- a/core/zyingress/receiver.go
+++ b/core/zyingress/receiver.go
@@ -198,7 +198,9 @@
 	if r.cfg.Callers != nil {
 		c.kin = r.cfg.Callers.Note(now, c.attempt.Route, c.attempt.Caller)
 	}
-	r.level.Arrive(now)
+	if !c.attempt.Again {
+		r.level.Arrive(now)
+	}
 	item := zyadmission.Item{
 		ID: c.attempt.ID, Route: c.attempt.Route, Rank: c.attempt.Rank,
 		Depth: c.attempt.Depth, Deadline: now.Add(c.attempt.Left), Patience: c.attempt.Patience,
@@ -209,7 +211,7 @@
 
 func (r *Receiver) judge(now time.Time, p zysuspect.Print) zysuspect.Verdict {
 	rules := r.cfg.Rules()
-	if rules == nil || rules.Released[p.String()] {
+	if rules == nil || len(rules.Released) > 0 && rules.Released[p.String()] {
 		return zysuspect.RunFreely
 	}
 	return r.cfg.Suspects.Judge(now, p, rules.QuarantineFor)
@@ -540,7 +542,7 @@
 	defer r.mu.Unlock()
 	if r.gate != nil {
 		if r.cfg.Graph != nil {
-			reply.Burdens = r.cfg.Graph.Burdens(time.Now(), a.Service, a.Route, r.level.Share())
+			reply.Burdens = r.cfg.Graph.Tell(time.Now(), a.Service, a.Route, r.level.Share())
 		} else {
 			reply.Threshold = r.gate.Threshold()
 		}
--- a/core/zypressure/door.go
+++ b/core/zypressure/door.go
@@ -41,6 +41,9 @@
 	count      int
 	since      time.Time
 	costs      map[zinniayoke.Service]float64
+	// judged is when verdict was found.
+	judged  time.Time
+	verdict Verdict
 }
 
 type told struct {
@@ -108,12 +111,11 @@
 	}
 	o.importance = r.Class.Importance
 	o.arrive(now)
-	v := Verdict{Returned: d.refused.take(now, content)}
-	for service := range o.costs {
-		if share := d.refusedBy(now, service, o); share > v.Share {
-			v.Share, v.Service, v.Lacking = share, service, d.share(now, service)
-		}
+	if now.Sub(o.judged) >= judgePeriod {
+		o.judged, o.verdict = now, d.judge(now, o)
 	}
+	v := o.verdict
+	v.Returned = d.refused.take(now, content)
 	const scale = 1 << 20
 	at := float64(xxhash.Sum64String(string(id))%scale) / scale
 	v.Admitted = at >= v.Share || v.Returned && v.Share < returnShare
@@ -131,6 +133,20 @@
 	d.refused.add(now, content)
 }
 
+// judgePeriod is how long a route's verdict stands. Shares move each 100 ms.
+const judgePeriod = 20 * time.Millisecond
+
+// judge finds the service that lacks most for a route.
+func (d *Door) judge(now time.Time, o *offer) Verdict {
+	var v Verdict
+	for service := range o.costs {
+		if share := d.refusedBy(now, service, o); share > v.Share {
+			v.Share, v.Service, v.Lacking = share, service, d.share(now, service)
+		}
+	}
+	return v
+}
+
 // returnShare is the share of refused calls from which on calls that come back
 // could fill the room alone, so that they are treated like all.
 const returnShare = 0.8
--- a/core/zypressure/door_test.go
+++ b/core/zypressure/door_test.go
@@ -77,6 +77,7 @@
 	r := route("lookup", 125)
 	d.Admit(now, r, "first", 0)
 	d.Learn(now, r.Name, []zinniayoke.Burden{{Service: "deep", Cost: 1, Share: 0.5}})
+	now = now.Add(50 * time.Millisecond)
 	again := 0
 	for i := range 200 {
 		id, content := zinniayoke.RequestID(fmt.Sprint(i)), uint64(i+1)
@@ -99,6 +100,7 @@
 	r := route("lookup", 125)
 	d.Admit(now, r, "first", 0)
 	d.Learn(now, r.Name, []zinniayoke.Burden{{Service: "deep", Cost: 1, Share: 0.9}})
+	now = now.Add(50 * time.Millisecond)
 	if v := d.Admit(now, r, "a", 1); v.Share < 0.5 || v.Service != "deep" {
 		t.Errorf("%+v at once, want most refused for the deep service", v)
 	}
--- a/message.go
+++ b/message.go
@@ -62,6 +62,9 @@
 	// Patience is how long the attempt may wait for the worker, 0 for as long as
 	// the gate lets all wait.
 	Patience time.Duration `codec:"pt"`
+	// Again is true where another node has refused the call before. Its worker's
+	// node has counted it as asked for.
+	Again bool `codec:"ag"`
 }
 
 // Grant is a keeper's permission to run a key once. The zero value grants
