--- a/io/zynode/path.go
+++ b/io/zynode/path.go
@@ -140,10 +140,10 @@
 	return zyfence.Config{Most: mostAttempts, MostBytes: mostAnswerBytes, Keep: keepAttempts}
 }
 
-// farDistance keeps calls in their region until its workers have queues twice as
-// long as their limit: workers there take calls with patience, and the link
-// between regions of the users' sites is shared by all that crosses it.
-const farDistance = 2.0
+// farDistance keeps calls in their region until its workers have queues about as
+// long as their limit while others have room. At 2.0 one region refused two fifths
+// of its lookups beside another that had room (tbf-mesh scale-2).
+const farDistance = 0.8
 
 // beyond returns how much more loaded the own region may be than another.
 func (n *Node) beyond() float64 {
