--- a/core/zyentry/filter.go
+++ b/core/zyentry/filter.go
@@ -315,7 +315,7 @@
 // returnAfter spreads the returns of refused calls over a part of the objective,
 // so that one that finds room then is still in time.
 func returnAfter(j *job) time.Duration {
-	const least, spread = 0.15, 0.25
+	const least, spread = 0.25, 0.5
 	if j.route == nil || j.route.Objective <= 0 {
 		return retryAfter(j.call)
 	}
