--- a/core/zyexplain/story.go
+++ b/core/zyexplain/story.go
@@ -192,7 +192,7 @@
 			return fmt.Sprintf("Refused, not run: the gate of %s had %d of %d slots in use and %d calls waiting.",
 				instanceOf(refused), refused.Running, refused.Limit, refused.Waiting)
 		}
-		return fmt.Sprintf("Refused at its entry, not run: %s, since a service that it leads to has no room.", text)
+		return fmt.Sprintf("Refused at its entry, not run: %s.", text)
 	case "deadline":
 		if ended.Outcome == "notRun" {
 			return fmt.Sprintf("Its time ran out after %s before a worker had room; it has not run.", took)
--- a/core/zyexplain/story_test.go
+++ b/core/zyexplain/story_test.go
@@ -13,8 +13,8 @@
 		name, log, want string
 	}{
 		{"shed at the entry",
-			`{"time":"2026-01-01T00:00:01Z","event":"callEnded","request":"r","outcome":"notRun","reason":"shed","detail":"40% of the route's calls are refused"}`,
-			"Refused at its entry, not run: 40%"},
+			`{"time":"2026-01-01T00:00:01Z","event":"callEnded","request":"r","outcome":"notRun","reason":"shed","detail":"40% of the route's calls are refused, since deep has no room for 20% of what is asked of it"}`,
+			"Refused at its entry, not run: 40% of the route's calls are refused, since deep has no room"},
 		{"shed at the gate",
 			`{"time":"2026-01-01T00:00:02Z","event":"callEnded","request":"r","outcome":"notRun","reason":"shed"}
 			 {"time":"2026-01-01T00:00:01Z","event":"attemptRefused","request":"r","instance":"i-1","reason":"shed","limit":12,"running":12,"waiting":7}`,
