--- a/cmd/zinniayoke/experiment.go
+++ b/cmd/zinniayoke/experiment.go
@@ -10,6 +10,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"zinniayoke/core/zybound"
 	"zinniayoke/core/zyexperiment"
 	"zinniayoke/io/zyplot"
 )
@@ -20,6 +21,11 @@
 		Name:  "experiment",
 		Usage: "measure the project's decisions in virtual time",
 		Commands: []*cli.Command{
+			{
+				Name: "bound", Usage: "the most worth that any policy could serve of a load", ArgsUsage: "FILE", Action: runBound,
+				Description: "FILE names services with their slots, and kinds of calls with their rate, worth and uses.\n" +
+					"Example: zinniayoke experiment bound docs/loads/hkw-scale.ini",
+			},
 			{
 				Name: "overload", Usage: "the overload policy against simpler ones", Action: runOverload,
 				Flags: []cli.Flag{
@@ -45,6 +51,33 @@
 	}
 }
 
+func runBound(_ context.Context, c *cli.Command) error {
+	name := c.Args().First()
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return fmt.Errorf("load: %w", err)
+	}
+	load, err := zybound.Parse(name, text)
+	if err != nil {
+		return fmt.Errorf("load:\n%w", err)
+	}
+	best, err := zybound.Best(load)
+	if err != nil {
+		return fmt.Errorf("load: %w", err)
+	}
+	w := c.Root().Writer
+	_, _ = fmt.Fprintf(w, "%-16s %8s\n", "kind", "served")
+	for _, k := range load.Kinds {
+		_, _ = fmt.Fprintf(w, "%-16s %8.3f\n", k.Name, best.Share[k.Name])
+	}
+	_, _ = fmt.Fprintf(w, "%-16s %8s\n", "service", "in use")
+	for _, s := range load.Services {
+		_, _ = fmt.Fprintf(w, "%-16s %8.3f\n", s.Name, best.Use[s.Name])
+	}
+	_, _ = fmt.Fprintf(w, "worth %.3f\n", best.Worth)
+	return nil
+}
+
 func runMembers(_ context.Context, c *cli.Command) error {
 	encoder := json.NewEncoder(os.Stdout)
 	for _, n := range c.IntSlice("members") {
--- /dev/null
+++ b/core/zybound/bound_test.go
@@ -0,0 +1,73 @@
+package zybound_test
+
+import (
+	"errors"
+	"math"
+	"testing"
+
+	"zinniayoke/core/zybound"
+	"zinniayoke/core/zyini"
+)
+
+const surge = `
+[service deep]
+slots = 10
+
+[service front]
+slots = 100
+
+[kind booking]
+rate = 10/s
+worth = 3
+uses = deep:400ms, front:500ms
+
+[kind read]
+rate = 50/s
+worth = 2
+uses = deep:60ms
+
+[kind lookup]
+rate = 60/s
+worth = 1
+uses = deep:100ms, front:300ms
+`
+
+func TestBest(t *testing.T) {
+	l, err := zybound.Parse("surge.ini", []byte(surge))
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := zybound.Best(l)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// Reads and lookups are worth more for each second of the deep service than
+	// bookings, which get what is left of 10 - 3 - 6.
+	for name, want := range map[string]float64{"read": 1, "lookup": 1, "booking": 0.25} {
+		if math.Abs(b.Share[name]-want) > 1e-6 {
+			t.Errorf("%.3f of %s is served, want %.3f", b.Share[name], name, want)
+		}
+	}
+	if math.Abs(b.Use["deep"]-1) > 1e-6 || b.Use["front"] > 0.5 {
+		t.Errorf("use %v, want the deep service full and the front one not", b.Use)
+	}
+}
+
+func TestRoomForAll(t *testing.T) {
+	b, err := zybound.Best(&zybound.Load{
+		Services: []zybound.Service{{Name: "s", Slots: 10}}, Kinds: []zybound.Kind{{Name: "k", Rate: 1, Worth: 1}},
+	})
+	if err != nil || math.Abs(b.Worth-1) > 1e-9 {
+		t.Errorf("got %+v, %v; want all worth", b, err)
+	}
+}
+
+func TestParseRejects(t *testing.T) {
+	for _, text := range []string{"", "[service s]\nslots = 1\n", "[service s]\nslots = 1\n[kind k]\nrate = 1/s\nworth = 1\nuses = other:1ms\n", "[kind k]\nrate = 1\nworth = 1\n"} {
+		_, err := zybound.Parse("l.ini", []byte(text))
+		var wrong *zyini.ProblemsError
+		if !errors.As(err, &wrong) {
+			t.Errorf("%q: got %v, want problems", text, err)
+		}
+	}
+}
