--- a/core/zyingress/receiver.go
+++ b/core/zyingress/receiver.go
@@ -10,7 +10,6 @@
 
 	"zinniayoke"
 	"zinniayoke/core/zyadmission"
-	"zinniayoke/core/zyanswer"
 	"zinniayoke/core/zyattempt"
 	"zinniayoke/core/zybundle"
 	"zinniayoke/core/zyclaim"
@@ -146,28 +145,6 @@
 	return reply
 }
 
-func (r *Receiver) note(kind zinniayoke.EventKind, c *run, reply *zinniayoke.Reply) {
-	a := c.attempt
-	e := &zinniayoke.Event{
-		Kind: kind, Request: a.Request, Attempt: a.ID, Route: a.Route, Service: a.Service,
-		Reason: reply.Reason, Outcome: reply.Outcome, Rank: a.Rank, Threshold: reply.Threshold, Depth: a.Depth,
-		Left: a.Left - time.Since(c.arrived), Took: time.Since(c.arrived), Detail: reply.Detail,
-	}
-	if reply.Answer != nil {
-		e.Status = reply.Answer.Status
-	}
-	r.mu.Lock()
-	e.Instance = r.told.Instance
-	if r.gate != nil {
-		e.Limit, e.Running, e.Waiting = r.gate.Limit(), r.gate.Running(), r.gate.Waiting()
-	}
-	if c.running {
-		e.Waited = c.started.Sub(c.arrived)
-	}
-	r.mu.Unlock()
-	r.cfg.Journal.Note(e)
-}
-
 // admit brings the attempt to the gate.
 func (r *Receiver) admit(ctx context.Context, c *run) (zinniayoke.Worker, error) {
 	now := time.Now()
@@ -209,14 +186,6 @@
 	return r.worker, nil
 }
 
-func (r *Receiver) judge(now time.Time, p zysuspect.Print) zysuspect.Verdict {
-	rules := r.cfg.Rules()
-	if rules == nil || len(rules.Released) > 0 && rules.Released[p.String()] {
-		return zysuspect.RunFreely
-	}
-	return r.cfg.Suspects.Judge(now, p, rules.QuarantineFor)
-}
-
 // available says why the worker can take no call now, or nil.
 func (r *Receiver) available(now time.Time, a *zinniayoke.Attempt) error {
 	switch {
@@ -234,53 +203,6 @@
 	return nil
 }
 
-// admitSuspect refuses what is quarantined, and everything beside a suspect.
-func (r *Receiver) admitSuspect(verdict zysuspect.Verdict, c *run) error {
-	if verdict == zysuspect.RunNever {
-		return zysuspect.Refused(c.print)
-	}
-	if r.alone != nil && r.alone != c {
-		return zinniayoke.Refuse(zinniayoke.ReasonNotReady, "a suspected request runs alone")
-	}
-	return nil
-}
-
-// reserve keeps the worker for a suspected request and waits until the worker
-// runs nothing else.
-func (r *Receiver) reserve(ctx context.Context, c *run) error {
-	r.mu.Lock()
-	if r.alone != nil {
-		r.mu.Unlock()
-		return zinniayoke.Refuse(zinniayoke.ReasonNotReady, "another suspected request runs alone")
-	}
-	r.alone = c
-	idle := r.whenIdle()
-	r.mu.Unlock()
-	select {
-	case <-idle:
-		return nil
-	case <-ctx.Done():
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.alone = nil
-	return refusalOf(ctx)
-}
-
-// whenIdle returns a channel that is closed once no call is at hand. The lock
-// is held.
-func (r *Receiver) whenIdle() <-chan struct{} {
-	if r.idle == nil {
-		r.idle = make(chan struct{})
-	}
-	idle := r.idle
-	if len(r.calls) == 0 {
-		close(r.idle)
-		r.idle = nil
-	}
-	return idle
-}
-
 // await waits for the gate's decision.
 func (r *Receiver) await(ctx context.Context, c *run) error {
 	select {
@@ -303,22 +225,6 @@
 	return refusalOf(ctx)
 }
 
-func (r *Receiver) decision(c *run, reason zinniayoke.Reason) error {
-	if reason == zinniayoke.ReasonNone {
-		return nil
-	}
-	e := zinniayoke.Refuse(reason, "refused by the worker's node")
-	e.RetryAfter = leastRetry + time.Duration(uint64(c.print)%uint64(spreadRetry))
-	return e
-}
-
-func refusalOf(ctx context.Context) error {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return zinniayoke.Refuse(zinniayoke.ReasonDeadline, "the deadline passed in the queue")
-	}
-	return zinniayoke.Refuse(zinniayoke.ReasonCancelled, "cancelled in the queue")
-}
-
 // hand gives the attempt to the worker and reads its answer.
 func (r *Receiver) hand(ctx context.Context, c *run, worker zinniayoke.Worker) *zinniayoke.Reply {
 	a := c.attempt
@@ -360,21 +266,6 @@
 	return reply
 }
 
-// rejectWeight follows a worker that begins to refuse within some ten calls.
-const rejectWeight = 0.1
-
-// countReject notes whether the worker has refused a call although its node saw
-// room. Such a worker seems more loaded to senders than it says.
-func (r *Receiver) countReject(rejected bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	hit := 0.0
-	if rejected {
-		hit = 1
-	}
-	r.rejects += rejectWeight * (hit - r.rejects)
-}
-
 func (r *Receiver) instance() zinniayoke.Instance {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -386,77 +277,6 @@
 	return a.Key != "" && a.Grant != zinniayoke.Grant{}
 }
 
-func (r *Receiver) reply(ctx context.Context, c *run, answer *zinniayoke.Answer, handed bool, err error) *zinniayoke.Reply {
-	a := c.attempt
-	if err == nil && r.isTrustedShed(a.Service, answer) {
-		return r.refuse(a, zinniayoke.Refuse(zinniayoke.ReasonShed, "the worker has shed the call"))
-	}
-	if err == nil {
-		r.cfg.Suspects.Clear(c.print)
-		zyanswer.Stamp(answer, a.Request, a.ID)
-		reply := r.blank(a)
-		reply.Answer = answer
-		reply.Outcome = zinniayoke.OutcomeDone
-		return reply
-	}
-	if refusal := (*zinniayoke.CallError)(nil); errors.As(err, &refusal) && refusal.Outcome == zinniayoke.OutcomeNotRun {
-		return r.refuse(a, refusal)
-	}
-	if !handed {
-		r.checkCrash()
-		return r.refuse(a, zinniayoke.Refuse(zinniayoke.ReasonNoUpstream, "the worker takes no connections"))
-	}
-	if ctx.Err() == nil {
-		r.checkCrash()
-		return r.refuse(a, zinniayoke.Lose(zinniayoke.ReasonAnswerLost, "the worker broke off"))
-	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return r.refuse(a, zinniayoke.Lose(zinniayoke.ReasonDeadline, "the worker did not answer in time"))
-	}
-	return r.refuse(a, zinniayoke.Lose(zinniayoke.ReasonCancelled, "cancelled while it ran"))
-}
-
-func (r *Receiver) isTrustedShed(s zinniayoke.Service, answer *zinniayoke.Answer) bool {
-	const shedStatus = 503
-	rules := r.cfg.Rules()
-	return answer.Status == shedStatus && rules != nil && rules.Services[s].TrustShed
-}
-
-// checkCrash finds out whether the worker has crashed. All requests that were
-// in flight at the first sign are suspects.
-func (r *Receiver) checkCrash() {
-	r.mu.Lock()
-	worker, incarnation := r.worker, r.told.Incarnation
-	prints := r.running()
-	r.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
-	if worker.Probe(ctx) == nil {
-		return
-	}
-	r.mu.Lock()
-	first := !r.crashed && r.told.Incarnation == incarnation
-	r.crashed = r.crashed || first
-	r.mu.Unlock()
-	if !first {
-		return
-	}
-	cases := r.cfg.Suspects.Crash(time.Now(), prints)
-	if r.cfg.OnSuspects != nil {
-		r.cfg.OnSuspects(cases)
-	}
-}
-
-func (r *Receiver) running() []zysuspect.Print {
-	var prints []zysuspect.Print
-	for _, c := range r.calls {
-		if c.running {
-			prints = append(prints, c.print)
-		}
-	}
-	return prints
-}
-
 // leave takes a call that has run out of the gate.
 func (r *Receiver) leave(c *run) {
 	now := time.Now()
@@ -533,33 +353,3 @@
 		r.carryOut(now, r.gate.Tick(now))
 	}
 }
-
-// blank returns a reply with the threshold and the load of the worker.
-func (r *Receiver) blank(a *zinniayoke.Attempt) *zinniayoke.Reply {
-	const percent = 100
-	reply := &zinniayoke.Reply{Attempt: a.ID, Request: a.Request}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.gate != nil {
-		if r.cfg.Graph != nil {
-			reply.Burdens = r.cfg.Graph.Tell(time.Now(), a.Service, a.Route, r.level.Share())
-		} else {
-			reply.Threshold = r.gate.Threshold()
-		}
-		reply.Load = (r.gate.Running()+r.gate.Waiting())*percent/r.gate.Limit() + int(rejectLoad*percent*r.rejects)
-	}
-	return reply
-}
-
-// refuse returns the reply for an attempt without an answer.
-func (r *Receiver) refuse(a *zinniayoke.Attempt, err error) *zinniayoke.Reply {
-	reply := r.blank(a)
-	reply.Unused = a.Tokens
-	var call *zinniayoke.CallError
-	if !errors.As(err, &call) {
-		call = zinniayoke.Lose(zinniayoke.ReasonAnswerLost, err.Error())
-	}
-	reply.Reason, reply.Outcome, reply.Detail = call.Reason, call.Outcome, call.Detail
-	reply.RetryAfter = call.RetryAfter
-	return reply
-}
