--- /dev/null
+++ b/core/zypick/load_test.go
@@ -0,0 +1,70 @@
+package zypick_test
+
+import (
+	"testing"
+	"time"
+
+	"zinniayoke"
+)
+
+// TestSlowWorkerIsSparedNotShunned lets one of three equal workers answer twelve
+// times slower; the others get its calls, and it is tried again after a while.
+func TestSlowWorkerIsSparedNotShunned(t *testing.T) {
+	r := roster{upstream("a", "a", "east"), upstream("b", "a", "east"), upstream("slow", "a", "east")}
+	p := newPicker(r, nil)
+	now := time.Unix(0, 0)
+	picks := func(n int) int {
+		slow := 0
+		for range n {
+			now = now.Add(5 * time.Millisecond)
+			u, ok := p.Pick(now, "s", 0, nil)
+			if !ok {
+				t.Fatal("no upstream")
+			}
+			took := 100 * time.Millisecond
+			if u.Node == "slow" {
+				slow++
+				took *= 12
+			}
+			p.Start(now, u.Node)
+			p.Replied(now, u.Node, took, &zinniayoke.Reply{Outcome: zinniayoke.OutcomeDone})
+		}
+		return slow
+	}
+	picks(100)
+	if slow := picks(100); slow > 25 {
+		t.Errorf("the slow worker got %d of 100 calls", slow)
+	}
+	now = now.Add(5 * time.Second)
+	if slow := picks(100); slow == 0 {
+		t.Error("the slow worker was never tried again")
+	}
+}
+
+// TestToldLoadMovesCalls tells that the near worker has a queue of its limit.
+func TestToldLoadMovesCalls(t *testing.T) {
+	r := roster{upstream("near", "a", "east"), upstream("region", "b", "east"), upstream("far", "c", "west")}
+	p := newPicker(r, nil)
+	now := time.Unix(0, 0)
+	tell := func(node zinniayoke.NodeID, load int) {
+		p.Start(now, node)
+		p.Replied(now, node, time.Millisecond, &zinniayoke.Reply{Outcome: zinniayoke.OutcomeDone, Load: load})
+	}
+	for _, c := range []struct {
+		near, region, far int
+		want              zinniayoke.NodeID
+	}{
+		{50, 0, 0, "near"},
+		{110, 50, 0, "region"},
+		{110, 105, 0, "near"},
+		{250, 250, 50, "far"},
+		{150, 150, 140, "near"},
+	} {
+		tell("near", c.near)
+		tell("region", c.region)
+		tell("far", c.far)
+		if u, _ := p.Pick(now, "s", 0, nil); u.Node != c.want {
+			t.Errorf("loads %d, %d, %d: %s was chosen, want %s", c.near, c.region, c.far, u.Node, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/core/zytimer/service_test.go
@@ -0,0 +1,39 @@
+package zytimer_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"zinniayoke/core/zytimer"
+)
+
+func TestSetPeriod(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := zytimer.New()
+		defer s.Stop()
+		calls := make(chan time.Time, 1000)
+		sub := s.Every(100*time.Millisecond, func(now time.Time) { calls <- now })
+		time.Sleep(time.Second + time.Millisecond)
+		if n := len(calls); n != 10 {
+			t.Errorf("%d calls in the first second, want 10", n)
+		}
+		sub.SetPeriod(10 * time.Millisecond)
+		time.Sleep(time.Second)
+		if n := len(calls); n < 105 || n > 111 {
+			t.Errorf("%d calls in all after a second with a tenth of the period, want about 110", n)
+		}
+		sub.SetPeriod(time.Hour)
+		time.Sleep(time.Second)
+		if n := len(calls); n > 112 {
+			t.Errorf("%d calls in all, want none more", n)
+		}
+		sub.Cancel()
+		sub.SetPeriod(time.Millisecond)
+		before := len(calls)
+		time.Sleep(time.Second)
+		if len(calls) != before {
+			t.Error("a cancelled subscriber was called")
+		}
+	})
+}
