zinniayoke: a SIGHUP during a planned stop does not end the process

The log of the stopping node ends 315 ms after 'The node is stopping' in the middle of its notice: on a stop SIGHUP got its default action back, and the next one killed the process with its calls. Change: SIGHUP is ignored from then on.

--- a/cmd/zinniayoke/node.go
+++ b/cmd/zinniayoke/node.go
@@ -72,7 +72,8 @@
 func follow(ctx context.Context, file string, node *zynode.Node) {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	// A SIGHUP that comes during a planned stop must not end the process.
+	defer signal.Ignore(syscall.SIGHUP)
 	ticker := time.NewTicker(rereadPeriod)
 	defer ticker.Stop()
 	last, lastErr := os.ReadFile(file)
