zypeer: a stopping node closes its links after the last reply is out

The receiver counts a call as ended before its reply is written; the stop closed the links in between, and the caller was told 502 although the answer was at hand. Change: the server counts attempts from their header to their written reply, and a stop waits for that within the grace.

--- a/io/zynode/stop.go
+++ b/io/zynode/stop.go
@@ -27,6 +27,7 @@
 		n.home.Drain(ctx),
 		n.receiver.Drain(ctx),
 	}
+	n.server.Drain(ctx)
 	n.handOver(ctx)
 	n.log.Info("The node has stopped.")
 	n.close()
--- a/io/zypeer/client_test.go
+++ b/io/zypeer/client_test.go
@@ -97,6 +97,7 @@
 	wire    *wire
 	client  *zypeer.Client
 	service *service
+	server  *zypeer.Server
 	end     func()
 }
 
@@ -106,6 +107,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	b.server = server
 	go server.Serve()
 	timer := zytimer.New()
 	b.client = zypeer.NewClient(zypeer.ClientConfig{Key: clientKey, Timer: timer, Dial: b.wire.dial})
@@ -213,3 +215,29 @@
 		}
 	})
 }
+
+// TestDrainWaitsForReplies lets a server drain while an attempt is at the worker.
+// Its reply has to be out when Drain returns, as the connections close then.
+func TestDrainWaitsForReplies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, key)
+		defer b.end()
+		replied := make(chan error, 1)
+		go func() {
+			_, err := b.client.Run(context.Background(), peer, &zinniayoke.Attempt{ID: "a"})
+			replied <- err
+		}()
+		time.Sleep(100 * time.Millisecond)
+		b.server.Drain(context.Background())
+		synctest.Wait()
+		select {
+		case err := <-replied:
+			if err != nil {
+				t.Errorf("the reply did not come: %v", err)
+			}
+		default:
+			t.Error("the server has drained before its reply was out")
+		}
+		b.server.Drain(context.Background()) // With nothing at hand it returns at once.
+	})
+}
--- a/io/zypeer/server.go
+++ b/io/zypeer/server.go
@@ -41,6 +41,7 @@
 	noteTimeout      = 1 * time.Second
 	mostElements     = 1 << 20
 	serviceName      = "Node"
+	runMethod        = serviceName + ".Run"
 )
 
 // Server answers peers. A Server must be made with NewServer.
@@ -51,6 +52,62 @@
 	conns  map[net.Conn]bool
 	closed bool
 	active sync.WaitGroup
+	// replies counts attempts whose reply has not been written yet, and idle is
+	// closed once there are none, where somebody waits for that.
+	replies int
+	idle    chan struct{}
+}
+
+// replyCodec tells the server when the reply to an attempt has been written.
+type replyCodec struct {
+	rpc.ServerCodec
+	server *Server
+}
+
+// ReadRequestHeader counts an attempt from the moment that it arrives.
+func (c *replyCodec) ReadRequestHeader(r *rpc.Request) error {
+	err := c.ServerCodec.ReadRequestHeader(r)
+	if err == nil && r.ServiceMethod == runMethod {
+		c.server.reply(1)
+	}
+	return err //nolint:wrapcheck // The rpc package compares it with io.EOF.
+}
+
+// WriteResponse writes a response.
+func (c *replyCodec) WriteResponse(r *rpc.Response, body any) error {
+	if r.ServiceMethod == runMethod {
+		defer c.server.reply(-1)
+	}
+	return c.ServerCodec.WriteResponse(r, body) //nolint:wrapcheck // The rpc package logs it.
+}
+
+func (s *Server) reply(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.replies += n
+	if s.replies == 0 && s.idle != nil {
+		close(s.idle)
+		s.idle = nil
+	}
+}
+
+// Drain waits until the replies to all attempts have been written or ctx is
+// done.
+func (s *Server) Drain(ctx context.Context) {
+	s.mu.Lock()
+	if s.replies == 0 {
+		s.mu.Unlock()
+		return
+	}
+	if s.idle == nil {
+		s.idle = make(chan struct{})
+	}
+	idle := s.idle
+	s.mu.Unlock()
+	select {
+	case <-idle:
+	case <-ctx.Done():
+	}
 }
 
 // NewServer returns a server; Serve runs it.
@@ -91,7 +148,7 @@
 		return
 	}
 	_ = conn.SetDeadline(time.Time{})
-	s.rpc.ServeCodec(codec.GoRpc.ServerCodec(newBuffered(conn), rpcHandle()))
+	s.rpc.ServeCodec(&replyCodec{ServerCodec: codec.GoRpc.ServerCodec(newBuffered(conn), rpcHandle()), server: s})
 }
 
 func rpcHandle() *codec.MsgpackHandle {
