core/zyfence: giving up answers looks only at those that are held

With the bound on bytes reached, each end of an attempt walked over all attempts of the last 10 s from the oldest one. Change: answers that are held are a list of their own; what was given up is never looked at again. A test counts what is looked at, a benchmark times it.

--- a/core/zyfence/table.go
+++ b/core/zyfence/table.go
@@ -29,7 +29,10 @@
 	entries map[zinniayoke.AttemptID]*entry
 	// ended holds the attempts that age out, oldest first.
 	ended []aging
-	bytes zinniayoke.Bytes
+	// holding holds those of them that have answers, oldest first, also some that
+	// are forgotten already.
+	holding []*entry
+	bytes   zinniayoke.Bytes
 }
 
 type entry struct {
@@ -78,8 +81,11 @@
 	}
 	e.fate = zinniayoke.FateAnswered
 	e.reply = reply
-	t.bytes += sizeOf(reply)
 	t.ended = append(t.ended, aging{id: id, at: now})
+	if size := sizeOf(reply); size > 0 {
+		t.bytes += size
+		t.holding = append(t.holding, e)
+	}
 	t.shrink()
 }
 
@@ -118,25 +124,33 @@
 		n++
 	}
 	t.ended = t.ended[n:]
+	n = 0
+	for n < len(t.holding) && t.holding[n].reply == nil {
+		n++
+	}
+	t.holding = t.holding[n:]
 }
 
 // shrink drops the bodies of the oldest answers past the bound on bytes. What
 // is dropped is a lost answer from then on, never one that did not run.
 func (t *Table) shrink() {
-	for i := 0; t.bytes > t.cfg.MostBytes && i < len(t.ended); i++ {
-		e, ok := t.entries[t.ended[i].id]
-		if !ok || e.reply == nil || e.reply.Answer == nil {
+	n := 0
+	for ; t.bytes > t.cfg.MostBytes && n < len(t.holding); n++ {
+		e := t.holding[n]
+		if e.reply == nil {
 			continue
 		}
 		t.bytes -= sizeOf(e.reply)
 		e.fate = zinniayoke.FateLost
 		e.reply = nil
 	}
+	t.holding = t.holding[n:]
 }
 
 func (t *Table) forget(id zinniayoke.AttemptID) {
 	if e, ok := t.entries[id]; ok {
 		t.bytes -= sizeOf(e.reply)
+		e.reply = nil
 		delete(t.entries, id)
 	}
 }
--- a/core/zyfence/table_test.go
+++ b/core/zyfence/table_test.go
@@ -77,3 +77,47 @@
 		})
 	})
 }
+
+// TestFullTableLooksAtWhatItHolds ends many attempts in a table that holds the
+// answers of ten. Walking over all that are remembered took half of a busy node's
+// processor time.
+func TestFullTableLooksAtWhatItHolds(t *testing.T) {
+	const held, all, age = 10, 5000, time.Second
+	table := zyfence.New(zyfence.Config{Most: all, MostBytes: held, Keep: age})
+	now := time.Unix(0, 0)
+	answer := &zinniayoke.Answer{Body: []byte("x")}
+	end := func(a *zinniayoke.Answer) {
+		id := zinniayoke.AttemptID(fmt.Sprint(now.UnixNano(), table.Len()))
+		if err := table.Begin(now, id); err != nil {
+			t.Fatal(err)
+		}
+		table.End(now, id, &zinniayoke.Reply{Attempt: id, Answer: a})
+	}
+	for range all {
+		end(answer)
+		if n := table.Holding(); n > held {
+			t.Fatalf("%d entries are looked at, want at most %d", n, held)
+		}
+	}
+	now = now.Add(2 * age)
+	end(nil)
+	if n, kept := table.Holding(), table.Len(); n != 0 || kept != 1 {
+		t.Errorf("%d of %d entries are looked at after all have aged, want 0 of 1", n, kept)
+	}
+}
+
+// BenchmarkFullTable is the end of an attempt in a table that is full of answers.
+func BenchmarkFullTable(b *testing.B) {
+	const most = 20_000
+	table := zyfence.New(zyfence.Config{Most: most, MostBytes: 2 * zinniayoke.MiB, Keep: keep})
+	now := time.Unix(0, 0)
+	reply := &zinniayoke.Reply{Answer: &zinniayoke.Answer{Body: make([]byte, zinniayoke.KiB)}}
+	for i := range b.N {
+		now = now.Add(2 * keep / most)
+		id := zinniayoke.AttemptID(fmt.Sprint(i))
+		if err := table.Begin(now, id); err != nil {
+			b.Fatal(err)
+		}
+		table.End(now, id, reply)
+	}
+}
