core/zyadmission: a queue by patience orders all items alike

Cause: the queue compared two items by when their patience ends only if both tell one, and by rank else. With calls of both kinds that is no order: the tree loses items, so that one that has left starts, and holds its slot for ever. On the platform it needs a route without a latency objective beside one with it. Change: a gate orders by patience or by rank for all its items, as configured; an item that tells no patience has the usual one. Measured: TestQueueOfMixedPatienceStaysWhole fails in its first round before ('66 starts after it has left') and passes after; go test of core, io/zynode, platform and the root passes.

--- a/core/zyadmission/gate.go
+++ b/core/zyadmission/gate.go
@@ -45,6 +45,9 @@
 	Fixed bool
 	// QueuePerSlot is how many calls may wait for each that runs; 0 means 1.
 	QueuePerSlot int
+	// ByPatience orders the queue by when the patience of each call ends, in place
+	// of its rank.
+	ByPatience bool
 }
 
 const (
@@ -77,28 +80,34 @@
 
 // NewGate returns a gate without running or waiting attempts.
 func NewGate(cfg Config) *Gate {
+	order := byRank
+	if cfg.ByPatience {
+		order = byPatience
+	}
 	return &Gate{
 		cfg:       cfg,
 		limit:     NewLimit(cfg.Slots),
 		threshold: NewThreshold(),
 		running:   make(map[zinniayoke.AttemptID]Item),
 		waiting:   make(map[zinniayoke.AttemptID]Item),
-		queue:     btree.NewG(btreeDegree, before),
+		queue:     btree.NewG(btreeDegree, order),
 		service:   make(map[zinniayoke.RouteName]time.Duration),
 	}
 }
 
-// before orders the queue: the first item starts next, the last is refused
-// first. Items that tell their patience go by when it ends, so that a call of a
-// worker, which has time, lets a short call of a caller pass, and is itself not
-// passed for long. Among ranks that differ only in their hash, deeper calls go first,
-// since more work is already spent on them.
-func before(a, b Item) bool {
-	if a.Patience > 0 && b.Patience > 0 {
-		if x, y := a.arrived.Add(a.Patience), b.arrived.Add(b.Patience); !x.Equal(y) {
-			return x.Before(y)
-		}
+// byPatience orders the queue by when the patience of each item ends, so that a
+// call of a worker, which has time, lets a short call of a caller pass, and is
+// itself not passed for long. The first item starts next, the last is refused first.
+func byPatience(a, b Item) bool {
+	if x, y := a.arrived.Add(a.patience()), b.arrived.Add(b.patience()); !x.Equal(y) {
+		return x.Before(y)
 	}
+	return byRank(a, b)
+}
+
+// byRank orders the queue by rank. Among ranks that differ only in their hash,
+// deeper calls go first, since more work is already spent on them.
+func byRank(a, b Item) bool {
 	if a.Rank>>hashBits != b.Rank>>hashBits {
 		return a.Rank>>hashBits > b.Rank>>hashBits
 	}
--- /dev/null
+++ b/core/zyadmission/order_test.go
@@ -0,0 +1,44 @@
+package zyadmission_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"zinniayoke"
+	"zinniayoke/core/zyadmission"
+)
+
+// TestQueueOfMixedPatienceStaysWhole has calls with and without a patience of
+// their own wait together and leave in any order. None may stay behind.
+func TestQueueOfMixedPatienceStaysWhole(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for round := range 50 {
+		g := zyadmission.NewGate(zyadmission.Config{Slots: 1, Fixed: true, QueuePerSlot: 300, ByPatience: true})
+		now := time.Now()
+		g.Arrive(now, zyadmission.Item{ID: "runs", Deadline: now.Add(time.Hour)})
+		var waiting []zinniayoke.AttemptID
+		for i := range 100 {
+			now = now.Add(time.Duration(random.IntN(20)) * time.Millisecond)
+			id := zinniayoke.AttemptID(fmt.Sprint(i))
+			res := g.Arrive(now, zyadmission.Item{
+				ID: id, Rank: zinniayoke.Rank(random.Uint32()), Depth: 1 + random.IntN(2), Deadline: now.Add(time.Hour),
+				Patience: time.Duration(random.IntN(2)*random.IntN(300)) * time.Millisecond,
+			})
+			if len(res.Refuse) > 0 {
+				t.Fatalf("round %d: %v was refused", round, res.Refuse)
+			}
+			waiting = append(waiting, id)
+		}
+		random.Shuffle(len(waiting), func(i, j int) { waiting[i], waiting[j] = waiting[j], waiting[i] })
+		for _, id := range waiting {
+			if !g.Leave(id) {
+				t.Fatalf("round %d: %s does not wait", round, id)
+			}
+		}
+		if res := g.Finish(now, "runs", time.Millisecond); len(res.Start) > 0 {
+			t.Fatalf("round %d: %s starts after it has left", round, res.Start[0].ID)
+		}
+	}
+}
--- a/core/zyingress/worker.go
+++ b/core/zyingress/worker.go
@@ -145,7 +145,9 @@
 // by their own contexts; calls that run are lost with the old worker.
 func (r *Receiver) newGate(a Announcement) {
 	old := r.gate
-	r.gate = zyadmission.NewGate(zyadmission.Config{Slots: a.Slots, Fixed: r.cfg.FixedLimit, QueuePerSlot: r.queuePerSlot()})
+	r.gate = zyadmission.NewGate(zyadmission.Config{
+		Slots: a.Slots, Fixed: r.cfg.FixedLimit, QueuePerSlot: r.queuePerSlot(), ByPatience: r.cfg.Graph != nil,
+	})
 	r.level = zypressure.NewLevel()
 	r.crashed = false
 	if old == nil {
