core/zybundle, io/zyweb: routes by host and prefix, splits, objectives in bundles

Cause: bundles that the platform decides on have routes by host and prefix, weighted splits and latency objectives; the project's own bundle had none. Change: [route] takes host and prefix in place of method and path, split in place of service, and objective. The caller port answers calls outside /call/ by their host. An objective bounds the wait and the Retry-After there too. Measured: go test of the packages, with each new error message in the table.

--- a/core/zybundle/bundle.go
+++ b/core/zybundle/bundle.go
@@ -100,13 +100,15 @@
 	Connections int
 }
 
-// Route states how calls of one method and path pattern are treated.
+// Route states how calls are treated: those of one method and path pattern, or
+// those to a host whose path begins with a prefix.
 type Route struct {
 	Name    zinniayoke.RouteName
 	Service zinniayoke.Service
-	Method  string
-	Path    string
-	Class   Class
+	// Method and Path are empty for a route that is found by host and prefix.
+	Method string
+	Path   string
+	Class  Class
 	// Attempts bounds the sends that one root request causes in its whole chain.
 	Attempts zinniayoke.Tokens
 	// Calls is how many child calls a run makes in its whole chain.
--- a/core/zybundle/bundle_test.go
+++ b/core/zybundle/bundle_test.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"zinniayoke"
 	"zinniayoke/core/zybundle"
@@ -152,6 +154,76 @@
 	}
 }
 
+// prefixRoutes are routes by host and prefix, of which one is split.
+const prefixRoutes = `
+[route web]
+host = Shop.example
+prefix = /
+service = settings
+class = lookup
+attempts = 3
+objective = 800ms
+
+[route web/orders]
+host = shop.example
+prefix = /orders/
+split = orderdesk 90, grindshop 10
+class = order
+attempts = 5
+`
+
+func TestRoutesByHostAndPrefix(t *testing.T) {
+	b, err := zybundle.Parse("b", []byte(example(t, "hollander.bundle.ini")+prefixRoutes))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		host, path string
+		want       zinniayoke.RouteName
+	}{
+		{"shop.example", "/", "web"},
+		{"SHOP.example", "/orders", "web"},
+		{"shop.example", "/orders/7", "web/orders"},
+		{"other.example", "/orders/7", ""},
+	} {
+		r, err := b.Match(c.host, c.path)
+		if (c.want == "") != (err != nil) || err == nil && r.Name != c.want {
+			t.Errorf("%s%s: %v, %v", c.host, c.path, r, err)
+		}
+	}
+	web, orders := b.Routes["web"], b.Routes["web/orders"]
+	if web.Objective != 800*time.Millisecond || web.Class.Importance != 50 {
+		t.Errorf("web: %+v", web)
+	}
+	want := []zybundle.Part{{Service: "orderdesk", Weight: 90}, {Service: "grindshop", Weight: 10}}
+	if !slices.Equal(orders.Split, want) || orders.Service != "" {
+		t.Errorf("web/orders: %+v", orders)
+	}
+}
+
+func TestParseRejectsPrefixRoutes(t *testing.T) {
+	good := example(t, "hollander.bundle.ini") + prefixRoutes
+	for _, c := range []struct {
+		old, new, want string
+	}{
+		{"prefix = /orders/", "prefix = /orders", "accepted: a prefix that begins and ends with a slash"},
+		{"prefix = /orders/", "", "prefix: found no value"},
+		{"prefix = /orders/", "prefix = /", "found shop.example/ again; accepted: one route for each host and prefix"},
+		{"split = ", "service = settings\nsplit = ", "accepted: either a service or a split"},
+		{"host = shop.example", "", "host: found no value"},
+		{"host = shop.example", "host = shop.example\nmethod = GET", "method: found an unknown key"},
+		{"orderdesk 90", "orderdesk", "accepted: a list, separated by commas, of: a service and its weight up to 1000"},
+		{"orderdesk 90", "orderdesk 0", "such as orderdesk 90"},
+		{"orderdesk 90", "desk 90", "found service desk"},
+		{"objective = 800ms", "objective = 800", "accepted: a duration with its unit"},
+	} {
+		_, err := zybundle.Parse("b.ini", []byte(strings.Replace(good, c.old, c.new, 1)))
+		if err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%q instead of %q: got %v; want %s", c.new, c.old, err, c.want)
+		}
+	}
+}
+
 func TestCheckSuccessor(t *testing.T) {
 	good := example(t, "hollander.bundle.ini")
 	first, err := zybundle.Parse("1", []byte(good))
--- a/core/zybundle/compose.go
+++ b/core/zybundle/compose.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math"
-	"strings"
 	"time"
 
 	"zinniayoke"
@@ -73,7 +72,7 @@
 func (b *Bundle) addComposed(p PrefixRoute) error {
 	r := p.Route
 	part := "route " + string(r.Name)
-	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+	if !isPrefix(r.Prefix) {
 		return &CompositionError{Part: part, Found: fmt.Sprintf("prefix %q", r.Prefix), Accepted: "a prefix that begins and ends with a slash"}
 	}
 	if (r.Service == "") == (len(r.Split) == 0) {
--- a/core/zybundle/match.go
+++ b/core/zybundle/match.go
@@ -27,6 +27,12 @@
 	return nil, zinniayoke.Refuse(zinniayoke.ReasonNoRoute, "the host has no route for this path")
 }
 
+// hasPrefix reports whether the host has a route with the same prefix.
+func (b *Bundle) hasPrefix(r *Route) bool {
+	h, ok := b.hosts[strings.ToLower(r.Host)]
+	return ok && h.routes[r.Prefix] != nil
+}
+
 // addPrefix adds the route to the matcher of its host.
 func (b *Bundle) addPrefix(r *Route) {
 	host := strings.ToLower(r.Host)
--- a/core/zybundle/parse.go
+++ b/core/zybundle/parse.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math"
 	"net/http"
+	"strings"
 	"time"
 
 	"zinniayoke"
@@ -141,21 +142,72 @@
 
 func (b *Bundle) readRoute(s *zyini.Section) {
 	r := &Route{Name: zinniayoke.RouteName(s.Name)}
-	r.Service = zyini.Need(s, "service", zyini.Name[zinniayoke.Service]())
-	r.Method = zyini.Need(s, "method", zyini.OneOf("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"))
-	r.Path = zyini.Need(s, "path", zyini.Text[string]())
+	byPrefix := s.Has("host") || s.Has("prefix")
+	if byPrefix {
+		b.readPrefix(s, r)
+	} else {
+		r.Service = zyini.Need(s, "service", zyini.Name[zinniayoke.Service]())
+		r.Method = zyini.Need(s, "method", zyini.OneOf("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"))
+		r.Path = zyini.Need(s, "path", zyini.Text[string]())
+	}
 	r.Class.Name = zyini.Need(s, "class", zyini.Name[zinniayoke.ClassName]())
 	r.Attempts = zyini.Need(s, "attempts", zyini.Whole[zinniayoke.Tokens](1, mostAttempts))
 	r.Calls = zyini.Get(s, "calls", zyini.Whole[zinniayoke.Tokens](0, mostAttempts), 0)
 	r.RetryBudget = zyini.Get(s, "retryBudget", zyini.Percent(), 0)
 	r.NeverRepeat = zyini.Get(s, "neverRepeat", zyini.Switch(), false)
 	r.Timeout = zyini.Get(s, "timeout", zyini.Duration(time.Millisecond, longestTimeout), usualTimeout)
+	r.Objective = zyini.Get(s, "objective", zyini.Duration(time.Millisecond, longestTimeout), 0)
 	r.MaxBody = zyini.Get(s, "maxBody", zyini.Size(0, largestBody), usualBody)
 	if r.Attempts > 0 && r.Attempts < 1+r.Calls {
 		s.Reject("attempts", fmt.Sprintf("%d with %d calls", r.Attempts, r.Calls), "at least one more than calls")
 	}
 	b.Routes[r.Name] = r
-	b.addPattern(s, r)
+	if !byPrefix {
+		b.addPattern(s, r)
+	}
+}
+
+// readPrefix reads what selects a route by host and prefix, and which services
+// serve it.
+func (b *Bundle) readPrefix(s *zyini.Section, r *Route) {
+	r.Host = zyini.Need(s, "host", zyini.Name[string]())
+	r.Prefix = zyini.Need(s, "prefix", pathPrefix())
+	r.Service = zyini.Get(s, "service", zyini.Name[zinniayoke.Service](), "")
+	r.Split = zyini.Get(s, "split", zyini.List(splitPart()), nil)
+	if s.Has("service") == s.Has("split") {
+		s.Reject("service", "not one of service and split", "either a service or a split")
+	}
+	if b.hasPrefix(r) {
+		s.Reject("prefix", r.Host+r.Prefix+" again", "one route for each host and prefix")
+		return
+	}
+	b.addPrefix(r)
+}
+
+// pathPrefix accepts prefixes of whole path parts.
+func pathPrefix() zyini.Kind[string] {
+	return zyini.Kind[string]{
+		Parse:    func(text string) (string, bool) { return text, isPrefix(text) },
+		Accepted: "a prefix that begins and ends with a slash",
+	}
+}
+
+func isPrefix(text string) bool {
+	return strings.HasPrefix(text, "/") && strings.HasSuffix(text, "/")
+}
+
+// splitPart accepts a service and its weight.
+func splitPart() zyini.Kind[Part] {
+	const heaviest = 1000
+	weight := zyini.Factor(heaviest)
+	return zyini.Kind[Part]{
+		Parse: func(text string) (Part, bool) {
+			name, number, _ := strings.Cut(text, " ")
+			w, ok := weight.Parse(strings.TrimSpace(number))
+			return Part{Service: zinniayoke.Service(name), Weight: w}, ok && w > 0 && zyini.IsName(name)
+		},
+		Accepted: fmt.Sprintf("a service and its weight up to %d, such as orderdesk 90", heaviest),
+	}
 }
 
 // addPattern adds the route to the matcher of its service. The matcher panics
--- a/core/zybundle/reference.go
+++ b/core/zybundle/reference.go
@@ -51,8 +51,10 @@
 
 func (b *Bundle) checkRoute(file *zyini.File, r *Route) {
 	section := "route " + string(r.Name)
-	if _, ok := b.Services[r.Service]; !ok {
-		file.Reject(section, "service "+string(r.Service), "a service with a [service] section")
+	for _, service := range r.services() {
+		if _, ok := b.Services[service]; !ok {
+			file.Reject(section, "service "+string(service), "a service with a [service] section")
+		}
 	}
 	class, ok := b.Classes[r.Class.Name]
 	if !ok {
@@ -65,6 +67,18 @@
 	}
 }
 
+// services returns the services that serve the route.
+func (r *Route) services() []zinniayoke.Service {
+	if len(r.Split) == 0 {
+		return []zinniayoke.Service{r.Service}
+	}
+	var list []zinniayoke.Service
+	for _, part := range r.Split {
+		list = append(list, part.Service)
+	}
+	return list
+}
+
 func (b *Bundle) checkDomain(file *zyini.File, section string, d zinniayoke.Domain) {
 	if _, ok := b.Domains[d]; !ok {
 		file.Reject(section, "domain "+string(d), "a failure domain with a [domain] section")
--- a/core/zyentry/filter.go
+++ b/core/zyentry/filter.go
@@ -123,7 +123,6 @@
 func (e *Entry) adoptByDeadline(j *job) {
 	now := time.Now()
 	c := j.call
-	c.Patience = time.Duration(rootPatience * float64(j.route.Objective))
 	if !e.cfg.Graph.Kin(c.Route) {
 		return
 	}
@@ -153,6 +152,9 @@
 		return j.rules.RouteOf(j.in.Service, j.in.HTTP)
 	}
 	path, _, _ := strings.Cut(j.in.Target, "?")
+	if path == "" {
+		path = j.in.HTTP.URL.Path
+	}
 	route, err := j.rules.Match(j.in.Host, path)
 	if err != nil {
 		return nil, err
@@ -176,6 +178,7 @@
 	c.Body = j.in.Body
 	c.BodyHash = uint64(zysuspect.PrintOf(c.Service, c.Method, c.Path, c.Query, c.Body))
 	if j.parent == nil {
+		c.Patience = time.Duration(rootPatience * float64(j.route.Objective))
 		c.Version = j.rules.Version
 		share := e.cfg.Shares.Of(time.Now(), j.caller.Name)
 		c.Rank = zyrank.Of(j.route.Class.Importance, j.caller.Urgency, share, c.Request)
@@ -281,7 +284,7 @@
 		if j.parent == nil && !j.kin && !e.cfg.Door.Admit(now, j.route.Name, j.call.Rank) {
 			j.threshold = e.cfg.Door.Threshold(now, j.route.Name)
 			refusal := zinniayoke.Refuse(zinniayoke.ReasonShed, "more important requests fill the service")
-			refusal.RetryAfter = retryAfter(j.call)
+			refusal.RetryAfter = returnAfter(j)
 			return nil, refusal
 		}
 		return next(ctx, j)
--- a/io/zyweb/caller.go
+++ b/io/zyweb/caller.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -52,9 +53,7 @@
 	engine.Use(gin.Recovery())
 	p := &callerPort{cfg: cfg}
 	engine.Any("/call/:service/*path", p.call)
-	engine.NoRoute(func(c *gin.Context) {
-		refuse(c, zinniayoke.Refuse(zinniayoke.ReasonNoRoute, "the caller port has /call/{service}/{path}"))
-	})
+	engine.NoRoute(p.call)
 	return engine
 }
 
@@ -104,16 +103,29 @@
 		return nil, zinniayoke.Refuse(zinniayoke.ReasonTooLarge, "the body is too large")
 	}
 	r := c.Request.Clone(c.Request.Context())
-	r.URL.Path = c.Param("path")
-	r.URL.RawPath = ""
+	service, host := zinniayoke.Service(c.Param("service")), ""
+	if service != "" {
+		r.URL.Path = c.Param("path")
+		r.URL.RawPath = ""
+	} else {
+		host = hostOf(r.Host)
+	}
 	return &zyentry.Inbound{
 		Token: token, Claimed: c.GetHeader(CallerHeader), Key: c.GetHeader(KeyHeader),
 		Context: c.GetHeader(zyworker.ContextHeader), Timeout: timeout,
-		Service: zinniayoke.Service(c.Param("service")), HTTP: r,
+		Service: service, Host: host, HTTP: r,
 		Headers: zyworker.Export(r.Header), Body: body,
 	}, nil
 }
 
+// hostOf returns the name of the host without a port.
+func hostOf(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
+
 func timeoutOf(text string) (time.Duration, error) {
 	if text == "" {
 		return 0, nil
--- a/io/zyweb/caller_test.go
+++ b/io/zyweb/caller_test.go
@@ -64,6 +64,20 @@
 	}
 }
 
+func TestCallsByHost(t *testing.T) {
+	e := &entry{reply: &zinniayoke.Reply{Outcome: zinniayoke.OutcomeDone, Answer: &zinniayoke.Answer{Status: http.StatusOK}}}
+	for _, c := range []struct{ target, host, path string }{
+		{"http://shop.example/orders/7?q=1", "shop.example", "/orders/7"},
+		{"http://shop.example:7100/", "shop.example", "/"},
+	} {
+		w := ask(e, "GET", c.target, "")
+		in := e.in
+		if w.Code != http.StatusOK || in.Service != "" || in.Host != c.host || in.HTTP.URL.Path != c.path {
+			t.Errorf("%s: status %d, service %q, host %q, path %q", c.target, w.Code, in.Service, in.Host, in.HTTP.URL.Path)
+		}
+	}
+}
+
 func TestFailures(t *testing.T) {
 	for _, c := range []struct {
 		reason  zinniayoke.Reason
