core/zymember, io/zynode: hosts that start again are found without the meeting place

Change: the probe that goes now and then to a dead member goes to one that has left too. A new run answers it with who it is, and two nodes that meet so introduce themselves. A node that is known before it could join compares lists with those that found it, and looks at the meeting place each second until its address is there.

--- a/core/zymember/probe.go
+++ b/core/zymember/probe.go
@@ -108,12 +108,13 @@
 	return Addressed{To: m.Upstream.Peer, Packet: p}
 }
 
-// nextTarget goes round all members in random order; now and then it takes a
-// dead one, so that a partition that heals is noticed.
+// nextTarget goes round all members in random order; now and then it takes one
+// that is gone, so that a partition that heals is noticed, and a host that starts
+// again while the meeting place is away.
 func (t *Table) nextTarget() (zinniayoke.NodeID, bool) {
 	t.ticks++
 	if t.ticks%deadProbeEvery == 0 {
-		if id, ok := t.randomDead(); ok {
+		if id, ok := t.randomGone(); ok {
 			return id, true
 		}
 	}
@@ -145,18 +146,19 @@
 	t.cfg.Random.Shuffle(len(t.order), func(i, j int) { t.order[i], t.order[j] = t.order[j], t.order[i] })
 }
 
-func (t *Table) randomDead() (zinniayoke.NodeID, bool) {
-	var dead []zinniayoke.NodeID
+// randomGone returns the last run of a host that is dead or has left.
+func (t *Table) randomGone() (zinniayoke.NodeID, bool) {
+	var gone []zinniayoke.NodeID
 	for id, m := range t.members {
-		if m.Status == zinniayoke.MemberDead && t.latest[HostOf(id)] == id {
-			dead = append(dead, id)
+		if !here(m) && id != t.cfg.Self.Node && t.latest[HostOf(id)] == id {
+			gone = append(gone, id)
 		}
 	}
-	if len(dead) == 0 {
+	if len(gone) == 0 {
 		return "", false
 	}
-	slices.Sort(dead)
-	return dead[t.cfg.Random.IntN(len(dead))], true
+	slices.Sort(gone)
+	return gone[t.cfg.Random.IntN(len(gone))], true
 }
 
 func (t *Table) pickHelpers(target zinniayoke.NodeID) []string {
@@ -173,18 +175,30 @@
 
 // Receive takes in a packet and returns the packets that answer it.
 func (t *Table) Receive(now time.Time, p *Packet) []Addressed {
+	_, known := t.members[p.From]
 	for _, c := range p.Changes {
 		t.merge(now, c)
 	}
+	var out []Addressed
+	if m, ok := t.members[p.From]; !known && ok && here(m) {
+		out = append(out, t.introduce(p.FromAddress))
+	}
 	switch p.Kind {
 	case Ping:
-		return t.answer(p)
+		return append(out, t.answer(p)...)
 	case PingRequest:
-		return t.relayPing(now, p)
+		return append(out, t.relayPing(now, p)...)
 	case Ack:
-		return t.acknowledge(p)
+		return append(out, t.acknowledge(p)...)
 	}
-	return nil
+	return out
+}
+
+// introduce returns a packet that tells who this node is.
+func (t *Table) introduce(address string) Addressed {
+	p := t.packet(Ping, 0)
+	p.Changes = append([]Change{t.self}, p.Changes...)
+	return Addressed{To: address, Packet: p}
 }
 
 func (t *Table) answer(p *Packet) []Addressed {
@@ -194,7 +208,7 @@
 	if p.Target != "" && p.Target != t.cfg.Self.Node {
 		// The packet is for an earlier run of this host's node, which is gone.
 		t.tell(t.self)
-		return nil
+		return []Addressed{t.introduce(p.FromAddress)}
 	}
 	ack := t.packet(Ack, p.Sequence)
 	if m, ok := t.members[p.From]; ok && m.Status != zinniayoke.MemberAlive {
--- a/io/zynode/join.go
+++ b/io/zynode/join.go
@@ -33,11 +33,15 @@
 		return
 	}
 	defer n.joining.Unlock()
+	if !n.joined.Load() && n.meet(n.view.Others()) > 0 {
+		// Others have found this node before it could find them.
+		n.joined.Store(true)
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), meetingTimeout)
 	defer cancel()
-	if !n.announced {
+	if !n.announced.Load() {
 		err := n.meeting.Announce(ctx, n.id, n.peer)
-		n.announced = err == nil
+		n.announced.Store(err == nil)
 		if err != nil {
 			n.log.With("error", err).Warn("The node could not leave its address at the meeting place.")
 		}
@@ -103,7 +107,7 @@
 	if now.Before(n.rejoinAt) {
 		return
 	}
-	if n.rejoinPause == 0 || !n.joined.Load() {
+	if n.rejoinPause == 0 || !n.joined.Load() || !n.announced.Load() {
 		n.rejoinPause = firstRejoin
 	}
 	longest := max(lastRejoin, time.Duration(len(n.view.Others()))*time.Second/readsPerSecond)
--- a/io/zynode/node.go
+++ b/io/zynode/node.go
@@ -101,8 +101,8 @@
 	// joined is true once another node has answered, or none is known.
 	joined  atomic.Bool
 	joining sync.Mutex
-	// announced is guarded by joining.
-	announced   bool
+	// announced is true once the node's address is at the meeting place.
+	announced   atomic.Bool
 	rejoinAt    time.Time
 	rejoinPause time.Duration
 	stopWatch   context.CancelFunc
