core/zyentry, core/zyexplain: an answer 500 tells which call of the worker failed

Change: a parent keeps why its first child call failed; the node of its worker adds that to an answer of 500 and above, hop by hop up to the entry's line.

--- /dev/null
+++ b/core/zyentry/export_test.go
@@ -0,0 +1,4 @@
+package zyentry
+
+// FailureOf is failureOf for the tests.
+var FailureOf = failureOf
--- a/core/zyentry/filter.go
+++ b/core/zyentry/filter.go
@@ -43,9 +43,7 @@
 			if err := e.adopt(j); err != nil {
 				return nil, err
 			}
-			j.parent.StartChild(time.Now())
-			defer e.endChild(j)
-			return next(ctx, j)
+			return e.runChild(ctx, j, next)
 		}
 		caller, err := j.rules.CallerOf(j.in.Token, j.in.Claimed)
 		if err != nil {
@@ -57,6 +55,40 @@
 	}
 }
 
+// runChild runs a call that belongs to a running one.
+func (e *Entry) runChild(ctx context.Context, j *job, next step) (*zinniayoke.Reply, error) {
+	j.parent.StartChild(time.Now())
+	defer e.endChild(j)
+	reply, err := next(ctx, j)
+	if why := failureOf(j.call.Service, reply, err); why != "" {
+		j.parent.Fail(why)
+	}
+	return reply, err
+}
+
+// failureOf says how a call failed, "" where it did not.
+func failureOf(s zinniayoke.Service, reply *zinniayoke.Reply, err error) string {
+	const serverError = 500
+	var refusal *zinniayoke.CallError
+	switch {
+	case errors.As(err, &refusal):
+		reply = &zinniayoke.Reply{Outcome: refusal.Outcome, Reason: refusal.Reason, Detail: refusal.Detail}
+	case err != nil || reply == nil:
+		return ""
+	}
+	switch {
+	case reply.Outcome == zinniayoke.OutcomeNotRun:
+		return fmt.Sprintf("a call to %s was refused (%s): %s", s, reply.Reason, reply.Detail)
+	case reply.Outcome == zinniayoke.OutcomeUnknown:
+		return fmt.Sprintf("a call to %s got no answer (%s): %s", s, reply.Reason, reply.Detail)
+	case reply.Answer == nil || reply.Answer.Status < serverError:
+		return ""
+	case reply.Detail != "":
+		return fmt.Sprintf("a call to %s was answered %d, since %s", s, reply.Answer.Status, reply.Detail)
+	}
+	return fmt.Sprintf("a call to %s was answered %d", s, reply.Answer.Status)
+}
+
 func (e *Entry) endChild(j *job) {
 	now := time.Now()
 	threshold := zinniayoke.Rank(0)
@@ -99,8 +131,7 @@
 		if e.cfg.Graph != nil && !j.in.Arrived.IsZero() {
 			e.adoptByDeadline(j)
 			if j.parent != nil {
-				j.parent.StartChild(time.Now())
-				defer e.endChild(j)
+				return e.runChild(ctx, j, next)
 			}
 		}
 		return next(ctx, j)
--- /dev/null
+++ b/core/zyentry/filter_test.go
@@ -0,0 +1,34 @@
+package zyentry_test
+
+import (
+	"fmt"
+	"testing"
+
+	"zinniayoke"
+	"zinniayoke/core/zyentry"
+)
+
+// TestFailuresAreToldUpwards has calls of a worker end in each way.
+func TestFailuresAreToldUpwards(t *testing.T) {
+	answered := func(status int, detail string) *zinniayoke.Reply {
+		return &zinniayoke.Reply{Outcome: zinniayoke.OutcomeDone, Answer: &zinniayoke.Answer{Status: status}, Detail: detail}
+	}
+	for _, c := range []struct {
+		reply *zinniayoke.Reply
+		err   error
+		want  string
+	}{
+		{answered(200, ""), nil, ""},
+		{answered(404, ""), nil, ""},
+		{answered(500, ""), nil, "a call to deep was answered 500"},
+		{answered(500, "a call to deeper was refused (shed): full"), nil,
+			"a call to deep was answered 500, since a call to deeper was refused (shed): full"},
+		{nil, fmt.Errorf("route: %w", zinniayoke.Refuse(zinniayoke.ReasonShed, "full")), "a call to deep was refused (shed): full"},
+		{&zinniayoke.Reply{Outcome: zinniayoke.OutcomeUnknown, Reason: zinniayoke.ReasonDeadline, Detail: "nobody waits"}, nil,
+			"a call to deep got no answer (deadline): nobody waits"},
+	} {
+		if got := zyentry.FailureOf("deep", c.reply, c.err); got != c.want {
+			t.Errorf("%+v, %v: got %q, want %q", c.reply, c.err, got, c.want)
+		}
+	}
+}
--- a/core/zyexplain/story.go
+++ b/core/zyexplain/story.go
@@ -66,6 +66,8 @@
 
 const (
 	longestLine = 1 << 20
+	// serverError is the first status of a server's failure.
+	serverError = 500
 	// contextTime is how long before the end of a request changes of belief count.
 	contextTime = 3 * time.Second
 	mostContext = 8
@@ -153,7 +155,7 @@
 		l := &s.Lines[i]
 		switch {
 		case l.Parent == s.Request && l.Request != s.Request:
-			if l.Outcome != "done" || l.Status >= 500 {
+			if l.Outcome != "done" || l.Status >= serverError {
 				child = l
 			}
 		case l.Event == "callEnded":
@@ -172,13 +174,10 @@
 
 func sentence(ended, refused, run, child *Line) string {
 	took := time.Duration(ended.TookUs) * time.Microsecond
-	switch {
-	case ended.Outcome == "done" && ended.Status >= 500 && child != nil:
-		return fmt.Sprintf("The worker answered %d after %s since its call %s to %s ended %s because of %s (%s).",
-			ended.Status, took, child.Request, child.Service, child.Outcome, orNone(child.Reason), child.Detail)
-	case ended.Outcome == "done" && ended.Status >= 500:
-		return fmt.Sprintf("The worker %s answered %d after %s: its own failure, or that of a call it made.", instanceOf(run), ended.Status, took)
-	case ended.Outcome == "done":
+	if ended.Outcome == "done" {
+		if ended.Status >= serverError {
+			return failed(ended, run, child)
+		}
 		return fmt.Sprintf("The request was answered with %d after %s.", ended.Status, took)
 	}
 	text := ended.Detail
@@ -206,6 +205,22 @@
 	return fmt.Sprintf("It ended %s because of %s: %s.", ended.Outcome, orNone(ended.Reason), text)
 }
 
+// failed finds the sentence for an answer that tells of a failure.
+func failed(ended, run, child *Line) string {
+	took := time.Duration(ended.TookUs) * time.Microsecond
+	switch {
+	case ended.Detail != "":
+		return fmt.Sprintf("The worker %s answered %d after %s, since %s.", instanceOf(run), ended.Status, took, ended.Detail)
+	case child != nil && child.Outcome == "done":
+		return fmt.Sprintf("The worker answered %d after %s since its call %s to %s was answered %d.",
+			ended.Status, took, child.Request, child.Service, child.Status)
+	case child != nil:
+		return fmt.Sprintf("The worker answered %d after %s since its call %s to %s ended %s because of %s (%s).",
+			ended.Status, took, child.Request, child.Service, child.Outcome, orNone(child.Reason), child.Detail)
+	}
+	return fmt.Sprintf("The worker %s answered %d after %s: its own failure, or that of a call it made.", instanceOf(run), ended.Status, took)
+}
+
 func orNone(reason string) string {
 	if reason == "" {
 		return "its answer"
--- a/core/zyexplain/story_test.go
+++ b/core/zyexplain/story_test.go
@@ -30,6 +30,13 @@
 			`{"time":"2026-01-01T00:00:02Z","event":"callEnded","request":"r","outcome":"done","status":500,"tookUs":90000}
 			 {"time":"2026-01-01T00:00:01Z","event":"callEnded","request":"c","parent":"r","service":"deep","outcome":"notRun","reason":"shed","detail":"full"}`,
 			"since its call c to deep ended notRun because of shed"},
+		{"a call of its worker was answered with a failure",
+			`{"time":"2026-01-01T00:00:02Z","event":"callEnded","request":"r","outcome":"done","status":500,"tookUs":90000}
+			 {"time":"2026-01-01T00:00:01Z","event":"callEnded","request":"c","parent":"r","service":"deep","outcome":"done","status":504}`,
+			"since its call c to deep was answered 504"},
+		{"only its own line is left",
+			`{"time":"2026-01-01T00:00:02Z","event":"callEnded","request":"r","outcome":"done","status":500,"tookUs":90000,"detail":"a call to mid was answered 500, since a call to deep was refused (shed): full"}`,
+			"answered 500 after 90ms, since a call to mid was answered 500, since a call to deep was refused (shed): full."},
 		{"deadline in the queue",
 			`{"time":"2026-01-01T00:00:02Z","event":"callEnded","request":"r","outcome":"notRun","reason":"deadline","tookUs":1200000}`,
 			"before a worker had room"},
--- a/core/zyingress/receiver.go
+++ b/core/zyingress/receiver.go
@@ -53,8 +53,10 @@
 	tickPeriod    = 10 * time.Millisecond
 	announceLapse = 3 * time.Second
 	probeTimeout  = 200 * time.Millisecond
-	leastRetry    = 200 * time.Millisecond
-	spreadRetry   = 800 * time.Millisecond
+	// serverError is the first status of a server's failure.
+	serverError = 500
+	leastRetry  = 200 * time.Millisecond
+	spreadRetry = 800 * time.Millisecond
 )
 
 // Receiver runs attempts at one worker. It may be used by several goroutines.
@@ -255,6 +257,9 @@
 	}
 	reply := r.reply(ctx, c, answer, handed, err)
 	reply.Handed = handed
+	if reply.Answer != nil && reply.Answer.Status >= serverError {
+		reply.Detail = parent.Failure()
+	}
 	r.countReject(handed && reply.Outcome == zinniayoke.OutcomeNotRun)
 	reply.Unused = parent.Pool.Close()
 	if r.cfg.Graph == nil {
--- a/core/zyparent/table.go
+++ b/core/zyparent/table.go
@@ -32,6 +32,7 @@
 	waited    time.Duration
 	threshold zinniayoke.Rank
 	ordinals  map[uint64]int
+	failure   string
 }
 
 // Table holds the parents by handle. It may be used by several goroutines. The
@@ -114,6 +115,27 @@
 	p.threshold = max(p.threshold, threshold)
 }
 
+// longestFailure bounds what is told of a failed child call, in bytes. Each hop
+// of a chain adds some 40.
+const longestFailure = 240
+
+// Fail notes that a child call has failed and why. The first one counts, as a
+// worker mostly gives up then.
+func (p *Parent) Fail(why string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.failure == "" {
+		p.failure = why[:min(len(why), longestFailure)]
+	}
+}
+
+// Failure returns why the first child call failed, "" where none did.
+func (p *Parent) Failure() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.failure
+}
+
 // Waited returns for how long at least one child call was under way.
 func (p *Parent) Waited() time.Duration {
 	p.mu.Lock()
--- a/core/zyparent/table_test.go
+++ b/core/zyparent/table_test.go
@@ -1,6 +1,7 @@
 package zyparent_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -34,3 +35,15 @@
 		t.Error("a call that has ended was matched")
 	}
 }
+
+func TestFirstFailureOfAChildCounts(t *testing.T) {
+	p := &zyparent.Parent{}
+	if why := p.Failure(); why != "" {
+		t.Errorf("a parent without failures tells %q", why)
+	}
+	p.Fail("a call to deep was refused" + strings.Repeat("x", 1000))
+	p.Fail("another")
+	if why := p.Failure(); !strings.HasPrefix(why, "a call to deep was refused") || len(why) > 300 {
+		t.Errorf("got %d bytes: %q", len(why), why)
+	}
+}
