core/zyparent: failed calls of no known parent are the guessed cause of a 500

Cause: calls whose own limit is shorter than their parent's deadline match no parent, so that chains of causes ended one hop too early. Change: a run that fails within 10 ms of such a failed call tells it as probable.

--- a/core/zyentry/filter.go
+++ b/core/zyentry/filter.go
@@ -66,6 +66,15 @@
 	return reply, err
 }
 
+// runStray runs a call of the host's worker that matches no running one.
+func (e *Entry) runStray(ctx context.Context, j *job, next step) (*zinniayoke.Reply, error) {
+	reply, err := next(ctx, j)
+	if why := failureOf(j.call.Service, reply, err); why != "" {
+		e.cfg.Parents.FailStray(time.Now(), why)
+	}
+	return reply, err
+}
+
 // failureOf says how a call failed, "" where it did not.
 func failureOf(s zinniayoke.Service, reply *zinniayoke.Reply, err error) string {
 	const serverError = 500
@@ -130,8 +139,11 @@
 		e.fill(j)
 		if e.cfg.Graph != nil && !j.in.Arrived.IsZero() {
 			e.adoptByDeadline(j)
-			if j.parent != nil {
+			switch {
+			case j.parent != nil:
 				return e.runChild(ctx, j, next)
+			case j.kin:
+				return e.runStray(ctx, j, next)
 			}
 		}
 		return next(ctx, j)
--- a/core/zyingress/receiver.go
+++ b/core/zyingress/receiver.go
@@ -258,7 +258,7 @@
 	reply := r.reply(ctx, c, answer, handed, err)
 	reply.Handed = handed
 	if reply.Answer != nil && reply.Answer.Status >= serverError {
-		reply.Detail = parent.Failure()
+		reply.Detail = r.cfg.Parents.Failure(time.Now(), parent)
 	}
 	r.countReject(handed && reply.Outcome == zinniayoke.OutcomeNotRun)
 	reply.Unused = parent.Pool.Close()
--- a/core/zyparent/table.go
+++ b/core/zyparent/table.go
@@ -40,6 +40,9 @@
 type Table struct {
 	mu      sync.Mutex
 	parents map[string]*Parent
+	// stray is the last failure of a child call that matched no parent.
+	stray   string
+	strayAt time.Time
 }
 
 const handleSize = 16
@@ -87,6 +90,32 @@
 	return best, best != nil
 }
 
+// strayAge is how long before the end of a run a failed call may be its cause: a
+// worker answers at once then.
+const strayAge = 10 * time.Millisecond
+
+// FailStray notes that a child call of an unknown parent has failed.
+func (t *Table) FailStray(now time.Time, why string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stray, t.strayAt = why[:min(len(why), longestFailure)], now
+}
+
+// Failure returns why a run that ends now has failed, as far as is known: the
+// first failed call of its own or else, as a guess, one of no known parent that
+// has failed just before. It returns "" where there is neither.
+func (t *Table) Failure(now time.Time, p *Parent) string {
+	if why := p.Failure(); why != "" {
+		return why
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.stray == "" || now.Sub(t.strayAt) > strayAge {
+		return ""
+	}
+	return "probably " + t.stray
+}
+
 // Close removes a parent.
 func (t *Table) Close(handle string) {
 	t.mu.Lock()
--- a/core/zyparent/table_test.go
+++ b/core/zyparent/table_test.go
@@ -47,3 +47,23 @@
 		t.Errorf("got %d bytes: %q", len(why), why)
 	}
 }
+
+func TestFailuresOfUnknownParentsAreAGuess(t *testing.T) {
+	table, p := &zyparent.Table{}, &zyparent.Parent{}
+	now := time.Now()
+	for _, c := range []struct {
+		name string
+		do   func()
+		want string
+	}{
+		{"nothing has failed", func() {}, ""},
+		{"a call of no known parent has failed", func() { table.FailStray(now, "a call to deep was refused") }, "probably a call to deep was refused"},
+		{"it was long ago", func() { now = now.Add(time.Second) }, ""},
+		{"an own call has failed too", func() { table.FailStray(now, "a call to deep was refused"); p.Fail("a call to mid was refused") }, "a call to mid was refused"},
+	} {
+		c.do()
+		if got := table.Failure(now, p); got != c.want {
+			t.Errorf("%s: got %q, want %q", c.name, got, c.want)
+		}
+	}
+}
