--- a/core/zymember/bucket.go
+++ b/core/zymember/bucket.go
@@ -59,3 +59,11 @@
 		t.merge(now, c)
 	}
 }
+
+// Adopt takes over the list of another node by a node that has just started. What
+// the other knows needs no telling; only what this node says of itself does.
+func (t *Table) Adopt(now time.Time, list []Change) {
+	t.Merge(now, list)
+	t.Forget()
+	t.tell(t.self)
+}
--- /dev/null
+++ b/core/zymember/list_test.go
@@ -0,0 +1,60 @@
+package zymember_test
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+
+	"zinniayoke"
+	"zinniayoke/core/zymember"
+)
+
+// listOf returns a list as of one service's nodes in ten failure domains.
+func listOf(n int) []zymember.Change {
+	list := make([]zymember.Change, 0, n)
+	for i := range n {
+		list = append(list, zymember.Change{
+			Upstream: zinniayoke.Upstream{
+				Node:  zinniayoke.NodeID(fmt.Sprintf("host-%d/%016x", i, i*7919)),
+				Place: zinniayoke.Place{Domain: zinniayoke.Domain(fmt.Sprintf("domain-%d", i%10)), Region: "north"},
+				Peer:  fmt.Sprintf("10.1.%d.%d:7620", i/250, i%250), Service: "orderdesk", Slots: 40, Connections: 300,
+			},
+			Counter: zinniayoke.Incarnation(i % 5),
+		})
+	}
+	return list
+}
+
+func TestListsArePacked(t *testing.T) {
+	for _, n := range []int{0, 1, 300, 4600} {
+		list := listOf(n)
+		packed, err := zymember.PackList(list)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := zymember.UnpackList(packed)
+		if err != nil || !slices.Equal(got, list) {
+			t.Errorf("%d members: got %d back, %v", n, len(got), err)
+		}
+		if most := 40 * n; n > 100 && len(packed) > most {
+			t.Errorf("%d members take %d bytes, want at most %d", n, len(packed), most)
+		}
+	}
+}
+
+func FuzzUnpackList(f *testing.F) {
+	packed, err := zymember.PackList(listOf(3))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(packed)
+	f.Add(packed[:len(packed)/2])
+	f.Add([]byte("no list"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var problem *zymember.PacketError
+		if _, err := zymember.UnpackList(raw); err != nil && !errors.As(err, &problem) {
+			t.Errorf("got %v, want a *PacketError", err)
+		}
+	})
+}
--- a/core/zymember/probe.go
+++ b/core/zymember/probe.go
@@ -162,9 +162,13 @@
 }
 
 func (t *Table) pickHelpers(target zinniayoke.NodeID) []string {
+	return t.pickHelpersOf(target, func(zinniayoke.Upstream) bool { return true })
+}
+
+func (t *Table) pickHelpersOf(target zinniayoke.NodeID, wanted func(u zinniayoke.Upstream) bool) []string {
 	var addresses []string
 	for id, m := range t.members {
-		if id != target && id != t.cfg.Self.Node && m.Status == zinniayoke.MemberAlive {
+		if id != target && id != t.cfg.Self.Node && m.Status == zinniayoke.MemberAlive && wanted(m.Upstream) {
 			addresses = append(addresses, m.Upstream.Peer)
 		}
 	}
--- a/io/zynode/join.go
+++ b/io/zynode/join.go
@@ -17,6 +17,10 @@
 	// mostTried bounds the unknown addresses that are tried at once; some are those
 	// of hosts that are gone.
 	mostTried = 8
+	// triedAtOnce is how many lists are copied at once. One holds nearly all, and
+	// many nodes that start at once would fill a link between regions with them.
+	triedAtOnce = 2
+	triedLater  = 1
 	// Nodes that start together may meet in groups that do not know each other, so
 	// the meeting place is looked at again, ever less often.
 	firstRejoin = 1 * time.Second
@@ -33,7 +37,7 @@
 		return
 	}
 	defer n.joining.Unlock()
-	if !n.joined.Load() && n.meet(n.view.Others()) > 0 {
+	if others := n.view.Others(); !n.joined.Load() && n.meet(others[:min(len(others), mostTried)]) > 0 {
 		// Others have found this node before it could find them.
 		n.joined.Store(true)
 	}
@@ -51,7 +55,9 @@
 		n.log.With("error", err).Warn("The meeting place cannot be read.")
 	}
 	unknown := n.unknownOf(append(slices.Clone(n.cfg.Settings.Seeds), found...))
-	met := n.meet(unknown)
+	newest := unknown[:min(len(unknown), mostTried)]
+	rand.Shuffle(len(newest), func(i, j int) { newest[i], newest[j] = newest[j], newest[i] })
+	met := n.meet(newest)
 	if met > 0 || len(unknown) == 0 && err == nil {
 		n.joined.Store(true)
 	}
@@ -79,12 +85,26 @@
 	return unknown
 }
 
-// meet compares member lists with the nodes at some of the addresses, all at
-// once, and returns how many answered.
+// meet compares member lists with nodes at some of the addresses, a few at a time
+// until one has answered, and returns how many have.
 func (n *Node) meet(addresses []string) int {
+	met, atOnce := 0, triedAtOnce
+	if n.joined.Load() {
+		atOnce = triedLater
+	}
+	for some := range slices.Chunk(addresses, atOnce) {
+		if met = n.meetAll(some); met > 0 {
+			break
+		}
+	}
+	return met
+}
+
+// meetAll compares member lists with the nodes at all of the addresses at once.
+func (n *Node) meetAll(addresses []string) int {
 	var met atomic.Int64
 	var all sync.WaitGroup
-	for _, address := range addresses[:min(len(addresses), mostTried)] {
+	for _, address := range addresses {
 		all.Go(func() {
 			if !n.syncWith(address) {
 				return
@@ -128,7 +148,19 @@
 	if err != nil {
 		return false
 	}
-	n.merge(reply.Changes)
+	changes, err := zymember.UnpackList(reply.Packed)
+	if err != nil {
+		n.log.With("error", err).With("peer", address).Warn("A list of members could not be read.")
+		return false
+	}
+	n.view.mu.Lock()
+	if n.joined.Load() {
+		n.view.table.Merge(time.Now(), changes)
+	} else {
+		n.view.table.Adopt(time.Now(), changes)
+	}
+	n.view.mu.Unlock()
+	n.onMembers()
 	return true
 }
 
@@ -148,9 +180,16 @@
 	n.onMembers()
 }
 
+// farSync is how many comparisons of lists stay in the region for each that may
+// go anywhere.
+const farSync = 8
+
 // syncRandom repairs what the packets have lost.
 func (n *Node) syncRandom() {
-	others := n.view.Others()
+	others := n.view.Near(n.cfg.Settings.Place.Region)
+	if len(others) == 0 || rand.IntN(farSync) == 0 {
+		others = n.view.Others()
+	}
 	if len(others) > 0 {
 		n.syncWith(others[rand.IntN(len(others))])
 	}
--- a/io/zynode/service.go
+++ b/io/zynode/service.go
@@ -7,6 +7,7 @@
 	"zinniayoke"
 	"zinniayoke/core/zyhome"
 	"zinniayoke/core/zyingress"
+	"zinniayoke/core/zymember"
 	"zinniayoke/io/zypeer"
 )
 
@@ -56,7 +57,11 @@
 	changes := n.view.table.Differing(args.Buckets)
 	n.view.mu.Unlock()
 	n.merge(args.Self)
-	return &zypeer.SyncReply{Changes: changes}
+	packed, err := zymember.PackList(changes)
+	if err != nil {
+		n.log.With("error", err).Warn("A list of members could not be sent.")
+	}
+	return &zypeer.SyncReply{Packed: packed}
 }
 
 // Bundle takes a bundle in and tells the version in force.
--- a/io/zynode/view.go
+++ b/io/zynode/view.go
@@ -173,6 +173,17 @@
 	return list
 }
 
+// Near returns the peer addresses of the other nodes of a region.
+func (v *view) Near(r zinniayoke.Region) []string {
+	var list []string
+	for _, m := range v.current.Load().members {
+		if isHere(m) && m.Upstream.Node != v.self && m.Upstream.Place.Region == r {
+			list = append(list, m.Upstream.Peer)
+		}
+	}
+	return list
+}
+
 // InRegion returns how many nodes of a region are there.
 func (v *view) InRegion(r zinniayoke.Region) int {
 	nodes := 0
--- a/io/zypeer/message.go
+++ b/io/zypeer/message.go
@@ -62,9 +62,10 @@
 	Self []zymember.Change `codec:"s"`
 }
 
-// SyncReply holds the members of the parts that differ.
+// SyncReply holds the members of the parts that differ, as zymember.PackList
+// writes them.
 type SyncReply struct {
-	Changes []zymember.Change `codec:"c"`
+	Packed []byte `codec:"p"`
 }
 
 // BundleArgs offers the bundle in force, or carries it where Lineage is set.
