core/zygraph: workers of two services may call one route

A route that is split over two services has its inner calls made by the workers of both, so that neither makes nine tenths of them; they were taken for calls of clients and refused at the door, after their parents had run (268 logged in 6 s). Change: a route is one that workers call if its calls come from about half of the services, or fewer, that as many calls of clients would come from. With a single service none is.

--- a/core/zygraph/callers.go
+++ b/core/zygraph/callers.go
@@ -4,6 +4,7 @@
 package zygraph
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -14,17 +15,22 @@
 	halfLife = 5 * time.Second
 	// fewestCalls is how many calls it takes to judge a route.
 	fewestCalls = 8
-	// ownShare is the part of a route's calls that comes from the hosts of one
-	// service where its workers make them. Callers are on the hosts of all services.
-	ownShare   = 0.9
+	// fewServices is the part of the services that as many calls of clients would
+	// come from, below which workers make the calls. Of four services two may call a
+	// route, as those that share the parent's route do.
+	fewServices = 0.55
+	// strayShare of the calls may come from anywhere.
+	strayShare = 0.03
 	mostRoutes = 8192
 )
 
-// Callers counts from the hosts of which service the calls of each route come.
-// It may be used by several goroutines. Callers must be made with NewCallers.
+// Callers counts from the hosts of which services the calls of each route come.
+// Clients are on the hosts of all services, workers on those of their own. It may
+// be used by several goroutines. Callers must be made with NewCallers.
 type Callers struct {
-	mu     sync.Mutex
-	routes map[zinniayoke.RouteName]*origins
+	services func() int
+	mu       sync.Mutex
+	routes   map[zinniayoke.RouteName]*origins
 }
 
 type origins struct {
@@ -33,13 +39,14 @@
 	halved time.Time
 }
 
-// NewCallers returns Callers that have seen no calls.
-func NewCallers() *Callers {
-	return &Callers{routes: make(map[zinniayoke.RouteName]*origins)}
+// NewCallers returns Callers that have seen no calls. Services returns how many
+// services have hosts.
+func NewCallers(services func() int) *Callers {
+	return &Callers{services: services, routes: make(map[zinniayoke.RouteName]*origins)}
 }
 
-// Note counts a call and reports whether the route is one that the workers of
-// the caller's service call.
+// Note counts a call and reports whether the route is one that workers call, those
+// of the caller's service among them.
 func (c *Callers) Note(now time.Time, r zinniayoke.RouteName, from zinniayoke.Caller) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -56,7 +63,21 @@
 	}
 	o.counts[from]++
 	o.sum++
-	return o.sum >= fewestCalls && o.counts[from] >= ownShare*o.sum
+	return o.sum >= fewestCalls && o.counts[from] >= strayShare*o.sum && o.few(c.services())
+}
+
+// few reports whether the calls come from fewer services than as many calls of
+// clients would.
+func (o *origins) few(services int) bool {
+	seen := 0
+	for _, n := range o.counts {
+		if n >= strayShare*o.sum {
+			seen++
+		}
+	}
+	all := float64(services)
+	expected := all * (1 - math.Pow(1-1/all, o.sum))
+	return services > 0 && float64(seen) <= fewServices*expected
 }
 
 func (o *origins) halve(now time.Time) {
--- a/core/zygraph/graph_test.go
+++ b/core/zygraph/graph_test.go
@@ -1,6 +1,7 @@
 package zygraph_test
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -9,23 +10,59 @@
 	"zinniayoke/core/zygraph"
 )
 
+// TestCallersTellWorkersFromClients plays routes that are called from the hosts
+// of some of the services in turn.
 func TestCallersTellWorkersFromClients(t *testing.T) {
-	c := zygraph.NewCallers()
-	now := time.Now()
-	var inner, outer bool
-	for i := range 200 {
-		now = now.Add(10 * time.Millisecond)
-		inner = c.Note(now, "inner", "orderdesk")
-		outer = c.Note(now, "outer", []zinniayoke.Caller{"orderdesk", "stockroom", "grindshop"}[i%3])
+	all := []zinniayoke.Caller{"orderdesk", "stockroom", "grindshop", "settings"}
+	many := make([]zinniayoke.Caller, 500)
+	for i := range many {
+		many[i] = zinniayoke.Caller(fmt.Sprint("s", i))
+	}
+	for _, c := range []struct {
+		name     string
+		services int
+		from     []zinniayoke.Caller
+		calls    int
+		want     bool
+	}{
+		{"one service's workers", 4, all[:1], 200, true},
+		{"the workers of two services that share the parent's route", 4, all[:2], 200, true},
+		{"clients on three of four services", 4, all[:3], 200, false},
+		{"clients", 4, all, 200, false},
+		{"clients at the first calls", 4, all, 8, false},
+		{"too few calls", 4, all[:1], 7, false},
+		{"clients where there is one service", 1, all[:1], 200, false},
+		{"clients where there are two", 2, all[:2], 200, false},
+		{"one of two services' workers", 2, all[:1], 200, true},
+		{"clients of many services", 500, many, 30, false},
+		{"two of many services' workers", 500, many[:2], 30, true},
+	} {
+		callers := zygraph.NewCallers(func() int { return c.services })
+		now := time.Now()
+		got := false
+		for i := range c.calls {
+			now = now.Add(10 * time.Millisecond)
+			got = callers.Note(now, "r", c.from[i%len(c.from)])
+		}
+		if got != c.want {
+			t.Errorf("%s: calls of workers %v, want %v", c.name, got, c.want)
+		}
 	}
-	if !inner {
-		t.Error("calls from one service's hosts were taken for those of clients")
+}
+
+// TestStraysAreNoWorkers has a client on another service's host call a route that
+// workers call.
+func TestStraysAreNoWorkers(t *testing.T) {
+	callers := zygraph.NewCallers(func() int { return 4 })
+	now := time.Now()
+	for range 100 {
+		callers.Note(now, "inner", "orderdesk")
 	}
-	if outer {
-		t.Error("calls from all hosts were taken for those of workers")
+	if callers.Note(now, "inner", "stockroom") {
+		t.Error("a stray call was taken for one of workers")
 	}
-	if c.Note(now, "new", "orderdesk") {
-		t.Error("a route was judged by its first call")
+	if !callers.Note(now, "inner", "orderdesk") {
+		t.Error("a stray call hides those of workers")
 	}
 }
 
--- a/io/zynode/path.go
+++ b/io/zynode/path.go
@@ -77,7 +77,7 @@
 	)
 	if n.decided() {
 		// Workers of the platform return no handles, so the graph has to be learned.
-		graph, callers, pressure = zygraph.New(), zygraph.NewCallers(), zypressure.NewDoor()
+		graph, callers, pressure = zygraph.New(), zygraph.NewCallers(n.view.Services), zypressure.NewDoor()
 		learn = func(now time.Time, route zinniayoke.RouteName, r *zinniayoke.Reply) {
 			graph.Learn(now, route, r.Kin, r.Burdens)
 			pressure.Learn(now, route, r.Burdens)
--- a/io/zynode/view.go
+++ b/io/zynode/view.go
@@ -184,6 +184,11 @@
 	return list
 }
 
+// Services returns how many services have a host that is there.
+func (v *view) Services() int {
+	return len(v.current.Load().byService)
+}
+
 // InRegion returns how many nodes of a region are there.
 func (v *view) InRegion(r zinniayoke.Region) int {
 	nodes := 0
