--- a/core/zypressure/door.go
+++ b/core/zypressure/door.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -18,6 +19,10 @@
 	forgetTime = 2 * time.Second
 	// offeredSpan is the span over which what is offered is averaged.
 	offeredSpan = 1 * time.Second
+	// slowSpan is the span over which a share is averaged before it refuses any but
+	// the least important routes. Shares swing by a third around their mean, as what
+	// they change takes half a second to reach the last service of a chain.
+	slowSpan = 2 * time.Second
 	mostRoutes  = 8192
 )
 
@@ -48,7 +53,9 @@
 
 type told struct {
 	share float64
-	at    time.Time
+	// slow is the share averaged over slowSpan.
+	slow float64
+	at   time.Time
 }
 
 // NewDoor returns a door that lets everything in.
@@ -79,10 +86,20 @@
 			const weight = 0.25
 			share = old.share + weight*(b.Share-old.share)
 		}
-		d.shares[b.Service] = told{share: share, at: now}
+		d.shares[b.Service] = told{share: share, slow: old.slower(now, share), at: now}
 	}
 }
 
+// slower returns the average share after another one was told.
+func (t told) slower(now time.Time, share float64) float64 {
+	passed := now.Sub(t.at)
+	if passed >= forgetTime {
+		return share
+	}
+	weight := 1 - math.Exp(-passed.Seconds()/slowSpan.Seconds())
+	return t.slow + weight*(share-t.slow)
+}
+
 // Verdict is what the door says to a call.
 type Verdict struct {
 	Admitted bool
@@ -165,11 +182,16 @@
 // told lately.
 func (d *Door) share(now time.Time, s zinniayoke.Service) float64 {
 	t := d.shares[s]
+	return t.share * t.belief(now)
+}
+
+// belief returns how much a share counts that was told some time ago.
+func (t told) belief(now time.Time) float64 {
 	switch age := now.Sub(t.at); {
 	case age <= holdTime:
-		return t.share
+		return 1
 	case age < forgetTime:
-		return t.share * float64(forgetTime-age) / float64(forgetTime-holdTime)
+		return float64(forgetTime-age) / float64(forgetTime-holdTime)
 	}
 	return 0
 }
@@ -191,6 +213,10 @@
 	slices.SortFunc(all, func(a, b *offer) int {
 		return cmp.Or(cmp.Compare(a.importance, b.importance), cmp.Compare(b.costs[s], a.costs[s]))
 	})
+	if len(all) > 0 && o.importance > all[0].importance {
+		t := d.shares[s]
+		share = min(share, t.slow*t.belief(now))
+	}
 	left := share * sum
 	for _, other := range all {
 		burden := other.rate * other.costs[s]
--- a/core/zypressure/door_test.go
+++ b/core/zypressure/door_test.go
@@ -71,6 +71,59 @@
 	}
 }
 
+// TestSwingsRefuseTheLeastImportantOnly replays a share that swings around 0.6,
+// where lookups are 0.7 of the burden and reads the rest, and one that stays high.
+func TestSwingsRefuseTheLeastImportantOnly(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		low, high float64
+		least     float64
+		most      float64
+	}{
+		{"swinging", 0.35, 0.85, 0, 0.05},
+		{"high", 0.9, 0.9, 0.6, 0.75},
+	} {
+		d := zypressure.NewDoor()
+		now := time.Now()
+		lookup, read := route("lookup", 125), route("read", 126)
+		refused, asked := 0, 0
+		for i := range 1000 {
+			now = now.Add(10 * time.Millisecond)
+			share := c.low
+			if i/40%2 == 1 {
+				share = c.high
+			}
+			id := zinniayoke.RequestID(fmt.Sprint(i))
+			d.Admit(now, lookup, id+"l", uint64(2*i))
+			v := d.Admit(now, read, id+"r", uint64(2*i+1))
+			d.Learn(now, "lookup", []zinniayoke.Burden{{Service: "deep", Cost: 0.007, Share: share}})
+			d.Learn(now, "read", []zinniayoke.Burden{{Service: "deep", Cost: 0.003, Share: share}})
+			if i < 500 {
+				continue
+			}
+			asked++
+			if !v.Admitted {
+				refused++
+			}
+		}
+		if got := float64(refused) / float64(asked); got < c.least || got > c.most {
+			t.Errorf("%s: %.2f of the reads are refused, want %.2f to %.2f", c.name, got, c.least, c.most)
+		}
+	}
+}
+
+// TestFreeCallsAreLetIn has replies tell that a call costs a full service nothing.
+func TestFreeCallsAreLetIn(t *testing.T) {
+	d := zypressure.NewDoor()
+	now := time.Now()
+	r := route("lookup", 125)
+	d.Admit(now, r, "first", 0)
+	d.Learn(now, r.Name, []zinniayoke.Burden{{Service: "deep", Share: 0.9}})
+	if v := d.Admit(now.Add(50*time.Millisecond), r, "second", 1); !v.Admitted {
+		t.Errorf("a call that costs nothing was refused: %+v", v)
+	}
+}
+
 func TestWhatComesBackGoesFirst(t *testing.T) {
 	d := zypressure.NewDoor()
 	now := time.Now()
