--- a/core/zypressure/door.go
+++ b/core/zypressure/door.go
@@ -22,8 +22,8 @@
 	// slowSpan is the span over which a share is averaged before it refuses any but
 	// the least important routes. Shares swing by a third around their mean, as what
 	// they change takes half a second to reach the last service of a chain.
-	slowSpan = 2 * time.Second
-	mostRoutes  = 8192
+	slowSpan   = 2 * time.Second
+	mostRoutes = 8192
 )
 
 // Door decides which root calls an entry lets in. It knows from the replies to
