core, io: read as a newcomer

One name for the first status of a server's failure (net/http's), comments of the join's bounds, a copied slice before it grows. In a gate that orders by patience, a call that has waited too long refuses nothing but itself.

--- a/core/zyadmission/gate.go
+++ b/core/zyadmission/gate.go
@@ -213,7 +213,7 @@
 	bar := zinniayoke.Rank(0)
 	g.queue.Ascend(func(item Item) bool {
 		waited := now.Sub(item.arrived) > item.patience()
-		if waited && item.Patience == 0 {
+		if waited && !g.cfg.ByPatience {
 			bar = max(bar, zyrank.ClassFloor(item.Rank))
 		}
 		if waited || g.hopeless(now, item) || item.Rank < bar {
--- a/core/zyentry/filter.go
+++ b/core/zyentry/filter.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -77,20 +78,17 @@
 
 // failureOf says how a call failed, "" where it did not.
 func failureOf(s zinniayoke.Service, reply *zinniayoke.Reply, err error) string {
-	const serverError = 500
-	var refusal *zinniayoke.CallError
-	switch {
-	case errors.As(err, &refusal):
+	if refusal := (*zinniayoke.CallError)(nil); errors.As(err, &refusal) {
 		reply = &zinniayoke.Reply{Outcome: refusal.Outcome, Reason: refusal.Reason, Detail: refusal.Detail}
-	case err != nil || reply == nil:
-		return ""
 	}
 	switch {
+	case reply == nil:
+		return ""
 	case reply.Outcome == zinniayoke.OutcomeNotRun:
 		return fmt.Sprintf("a call to %s was refused (%s): %s", s, reply.Reason, reply.Detail)
 	case reply.Outcome == zinniayoke.OutcomeUnknown:
 		return fmt.Sprintf("a call to %s got no answer (%s): %s", s, reply.Reason, reply.Detail)
-	case reply.Answer == nil || reply.Answer.Status < serverError:
+	case reply.Answer == nil || reply.Answer.Status < http.StatusInternalServerError:
 		return ""
 	case reply.Detail != "":
 		return fmt.Sprintf("a call to %s was answered %d, since %s", s, reply.Answer.Status, reply.Detail)
--- a/core/zyexplain/story.go
+++ b/core/zyexplain/story.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -66,8 +67,6 @@
 
 const (
 	longestLine = 1 << 20
-	// serverError is the first status of a server's failure.
-	serverError = 500
 	// contextTime is how long before the end of a request changes of belief count.
 	contextTime = 3 * time.Second
 	mostContext = 8
@@ -155,7 +154,7 @@
 		l := &s.Lines[i]
 		switch {
 		case l.Parent == s.Request && l.Request != s.Request:
-			if l.Outcome != "done" || l.Status >= serverError {
+			if l.Outcome != "done" || l.Status >= http.StatusInternalServerError {
 				child = l
 			}
 		case l.Event == "callEnded":
@@ -175,7 +174,7 @@
 func sentence(ended, refused, run, child *Line) string {
 	took := time.Duration(ended.TookUs) * time.Microsecond
 	if ended.Outcome == "done" {
-		if ended.Status >= serverError {
+		if ended.Status >= http.StatusInternalServerError {
 			return failed(ended, run, child)
 		}
 		return fmt.Sprintf("The request was answered with %d after %s.", ended.Status, took)
--- a/core/zyingress/receiver.go
+++ b/core/zyingress/receiver.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"sync"
 	"time"
 
@@ -53,10 +54,8 @@
 	tickPeriod    = 10 * time.Millisecond
 	announceLapse = 3 * time.Second
 	probeTimeout  = 200 * time.Millisecond
-	// serverError is the first status of a server's failure.
-	serverError = 500
-	leastRetry  = 200 * time.Millisecond
-	spreadRetry = 800 * time.Millisecond
+	leastRetry    = 200 * time.Millisecond
+	spreadRetry   = 800 * time.Millisecond
 )
 
 // Receiver runs attempts at one worker. It may be used by several goroutines.
@@ -257,7 +256,7 @@
 	}
 	reply := r.reply(ctx, c, answer, handed, err)
 	reply.Handed = handed
-	if reply.Answer != nil && reply.Answer.Status >= serverError {
+	if reply.Answer != nil && reply.Answer.Status >= http.StatusInternalServerError {
 		reply.Detail = r.cfg.Parents.Failure(time.Now(), parent)
 	}
 	r.countReject(handed && reply.Outcome == zinniayoke.OutcomeNotRun)
--- a/core/zymember/news.go
+++ b/core/zymember/news.go
@@ -78,7 +78,7 @@
 func (t *Table) pickBurst() []string {
 	anywhere := t.pickHelpers("")
 	near := t.pickHelpersOf("", func(u zinniayoke.Upstream) bool { return u.Place.Region == t.self.Upstream.Place.Region })
-	addresses := anywhere[:min(1, len(anywhere))]
+	addresses := slices.Clone(anywhere[:min(1, len(anywhere))])
 	for _, a := range append(near, anywhere...) {
 		if len(addresses) < indirectProbes && !slices.Contains(addresses, a) {
 			addresses = append(addresses, a)
--- a/io/zynode/join.go
+++ b/io/zynode/join.go
@@ -14,11 +14,12 @@
 )
 
 const (
-	// mostTried bounds the unknown addresses that are tried at once; some are those
-	// of hosts that are gone.
+	// mostTried bounds the unknown addresses that are tried at one look; some are
+	// those of hosts that are gone.
 	mostTried = 8
-	// triedAtOnce is how many lists are copied at once. One holds nearly all, and
-	// many nodes that start at once would fill a link between regions with them.
+	// triedAtOnce is how many lists a node copies at its start, and triedLater at a
+	// later look. One holds nearly all, and eight filled the link between regions
+	// when 304 nodes started at once.
 	triedAtOnce = 2
 	triedLater  = 1
 	// Nodes that start together may meet in groups that do not know each other, so
