--- a/core/zyentry/filter.go
+++ b/core/zyentry/filter.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -23,7 +21,8 @@
 
 const (
 	longestKey = 200
-	deepest    = 32
+	// rootPatience is the part of its objective that a root call may wait.
+	rootPatience = 0.125
 )
 
 func newRequestID() zinniayoke.RequestID {
@@ -56,73 +55,6 @@
 	}
 }
 
-// runChild runs a call that belongs to a running one.
-func (e *Entry) runChild(ctx context.Context, j *job, next step) (*zinniayoke.Reply, error) {
-	j.parent.StartChild(time.Now())
-	defer e.endChild(j)
-	reply, err := next(ctx, j)
-	if why := failureOf(j.call.Service, reply, err); why != "" {
-		j.parent.Fail(why)
-	}
-	return reply, err
-}
-
-// runStray runs a call of the host's worker that matches no running one.
-func (e *Entry) runStray(ctx context.Context, j *job, next step) (*zinniayoke.Reply, error) {
-	reply, err := next(ctx, j)
-	if why := failureOf(j.call.Service, reply, err); why != "" {
-		e.cfg.Parents.FailStray(time.Now(), why)
-	}
-	return reply, err
-}
-
-// failureOf says how a call failed, "" where it did not.
-func failureOf(s zinniayoke.Service, reply *zinniayoke.Reply, err error) string {
-	if refusal := (*zinniayoke.CallError)(nil); errors.As(err, &refusal) {
-		reply = &zinniayoke.Reply{Outcome: refusal.Outcome, Reason: refusal.Reason, Detail: refusal.Detail}
-	}
-	switch {
-	case reply == nil:
-		return ""
-	case reply.Outcome == zinniayoke.OutcomeNotRun:
-		return fmt.Sprintf("a call to %s was refused (%s): %s", s, reply.Reason, reply.Detail)
-	case reply.Outcome == zinniayoke.OutcomeUnknown:
-		return fmt.Sprintf("a call to %s got no answer (%s): %s", s, reply.Reason, reply.Detail)
-	case reply.Answer == nil || reply.Answer.Status < http.StatusInternalServerError:
-		return ""
-	case reply.Detail != "":
-		return fmt.Sprintf("a call to %s was answered %d, since %s", s, reply.Answer.Status, reply.Detail)
-	}
-	return fmt.Sprintf("a call to %s was answered %d", s, reply.Answer.Status)
-}
-
-func (e *Entry) endChild(j *job) {
-	now := time.Now()
-	threshold := zinniayoke.Rank(0)
-	if j.route != nil {
-		threshold = e.cfg.Door.Threshold(now, j.route.Name)
-	}
-	j.parent.EndChild(now, threshold)
-}
-
-// adopt makes the call a part of the request that its parent belongs to.
-func (e *Entry) adopt(j *job) error {
-	parent, ok := e.cfg.Parents.Find(j.in.Context)
-	if !ok {
-		return zinniayoke.Refuse(zinniayoke.ReasonCancelled, "the call that this one belongs to has ended")
-	}
-	if parent.Depth >= deepest {
-		return zinniayoke.Refuse(zinniayoke.ReasonMalformed, "the chain of calls is too deep")
-	}
-	j.parent = parent
-	j.call.Request = parent.Request
-	j.call.Caller = parent.Caller
-	j.call.Rank = parent.Rank
-	j.call.Depth = parent.Depth + 1
-	j.call.Version = parent.Version
-	return nil
-}
-
 // findRoute looks the route up and checks the size of the body.
 func (e *Entry) findRoute(next step) step {
 	return func(ctx context.Context, j *job) (*zinniayoke.Reply, error) {
@@ -148,44 +80,6 @@
 	}
 }
 
-const (
-	// childImportance lifts calls of workers above all root calls: their parents
-	// hold slots already. Composed bundles use half of the scale for root calls.
-	childImportance = 128
-	// childPatience is the part of its time that a worker's call may wait, and
-	// rootPatience the part of the objective that a root call may.
-	childPatience = 0.4
-	rootPatience  = 0.125
-)
-
-// adoptByDeadline makes the call a part of the running call that has the same
-// deadline, if the route is one that workers call. The call keeps its own id and
-// attempts.
-func (e *Entry) adoptByDeadline(j *job) {
-	now := time.Now()
-	c := j.call
-	if !e.cfg.Graph.Kin(c.Route) {
-		return
-	}
-	parent, matched := e.cfg.Parents.Match(j.in.Arrived.Add(j.in.Timeout))
-	if !matched {
-		e.cfg.Graph.Call(now, c.Route, "")
-	} else {
-		e.cfg.Graph.Call(now, c.Route, parent.Route)
-	}
-	j.kin = true
-	c.Depth = 1
-	left := min(j.in.Timeout, j.route.Timeout)
-	c.Patience = time.Duration(childPatience * float64(left))
-	importance := j.route.Class.Importance
-	if matched {
-		j.parent = parent
-		c.Depth = parent.Depth + 1
-		importance = zyrank.ImportanceOf(parent.Rank)
-	}
-	c.Rank = zyrank.Lift(importance|childImportance, c.Rank)
-}
-
 // routeOf finds the route by the service that the caller names, or by host and
 // path, and sets the service of the call.
 func (e *Entry) routeOf(j *job) (*zybundle.Route, error) {
@@ -282,20 +176,6 @@
 	}
 }
 
-func childKey(j *job) zinniayoke.Key {
-	c, parent := j.call, j.parent
-	root := string(parent.Key)
-	if root == "" {
-		root = string(parent.Request)
-	}
-	name := j.in.Key
-	if name == "" {
-		name = strconv.Itoa(parent.Ordinal(c.BodyHash))
-	}
-	sum := xxhash.Sum64String(string(c.Route) + "\x00" + name + "\x00" + strconv.FormatUint(c.BodyHash, 16))
-	return zinniayoke.Key(root + "\x00" + strconv.FormatUint(sum, 16))
-}
-
 // refuseQuarantined refuses a request that crashes workers.
 func (e *Entry) refuseQuarantined(next step) step {
 	return func(ctx context.Context, j *job) (*zinniayoke.Reply, error) {
