io/zynode, core/zywatch: two readers of the store in each failure domain

Each change of the configuration went to every node from the store, so 48 copies crossed to the far region. Each node also announced itself again at each start.

Change: the first two nodes of each failure domain, by rendezvous hash, read; they send beats down the tree of their domain, by which the others know that they are up to date or fetch the newer version from the node before them. core/zywatch decides who reads: next ranks take over after 1.2 s without beats, a node that hears nobody reads by itself, a node that has taken over yields. Only readers and nodes that found nobody announce themselves, and only if their address is missing. Also: the checkpoint writer is one of the log readers (it ranked among all nodes, of which only readers poll); sealed packets keep to MaxPacketSize; an invalid configuration is no longer logged as a lost store; expired records are not retried at once.

Tests: zywatch replays lost readers, refusals by the store, groups and single nodes that are cut off, in virtual time, and fails if all read; TestFewNodesReadTheStore with real nodes; TestCheckpointWriterReadsTheLog; TestSentPacketsKeepToMaxPacketSize (1265 bytes before).

--- a/core/zymember/broadcast.go
+++ b/core/zymember/broadcast.go
@@ -77,6 +77,19 @@
 	return out
 }
 
+// NewBeat returns a beat of the given reader for each of the addresses. It carries no
+// changes.
+func (t *Table) NewBeat(root zinniayoke.NodeID, sequence uint64, addresses []string) []OutgoingPacket {
+	out := make([]OutgoingPacket, 0, len(addresses))
+	for _, address := range addresses {
+		out = append(out, OutgoingPacket{To: address, Packet: Packet{
+			Kind: Beat, From: t.cfg.Self.Node, FromAddress: t.self.Upstream.PeerAddress,
+			Sequence: sequence, Version: t.version, Root: root,
+		}})
+	}
+	return out
+}
+
 // pickGossipTargets returns the addresses of random members. One may be in any
 // region; the others are in this node's region as far as it has enough members,
 // because links between regions have little bandwidth.
--- a/core/zymember/packet.go
+++ b/core/zymember/packet.go
@@ -25,6 +25,8 @@
 	PingRequest
 	// Ack acknowledges a Ping.
 	Ack
+	// Beat says that a reader of the bundle source reads it without errors.
+	Beat
 )
 
 // MaxPacketSize is the largest size in bytes of a packet that is sent. It is below
@@ -55,6 +57,9 @@
 	// with its own to notice a version that it has missed.
 	Version zinniayoke.Version `codec:"v"`
 	Changes []Change           `codec:"c"`
+	// Root is the reader that a Beat started from. Sequence numbers the beats of that
+	// reader.
+	Root zinniayoke.NodeID `codec:"r"`
 }
 
 // Change is the state of one member, or a report about a suspect request.
@@ -108,13 +113,20 @@
 	return h
 }
 
-// Seal encodes a packet and prepends a message authentication code.
+// Seal encodes a packet and prepends a message authentication code. It leaves out the
+// last changes of a packet that would exceed MaxPacketSize; later packets repeat them.
 func Seal(key []byte, p *Packet) ([]byte, error) {
-	var body []byte
-	if err := codec.NewEncoderBytes(&body, newHandle()).Encode(p); err != nil {
-		return nil, &PacketError{Problem: "encoding", Err: err}
+	fitting := *p
+	for {
+		var body []byte
+		if err := codec.NewEncoderBytes(&body, newHandle()).Encode(&fitting); err != nil {
+			return nil, &PacketError{Problem: "encoding", Err: err}
+		}
+		if macSize+len(body) <= MaxPacketSize || len(fitting.Changes) == 0 {
+			return append(mac(key, body), body...), nil
+		}
+		fitting.Changes = fitting.Changes[:len(fitting.Changes)-1]
 	}
-	return append(mac(key, body), body...), nil
 }
 
 // Open verifies the authentication code of a packet and decodes the packet. The
@@ -135,7 +147,7 @@
 	if err := codec.NewDecoderBytes(body, newHandle()).Decode(p); err != nil {
 		return nil, &PacketError{Problem: "decoding", Err: err}
 	}
-	if p.From == "" || len(p.Changes) > maxChanges || p.Kind < Ping || p.Kind > Ack {
+	if p.From == "" || len(p.Changes) > maxChanges || p.Kind < Ping || p.Kind > Beat {
 		return nil, &PacketError{Problem: fmt.Sprintf("field out of range: sender %q, kind %d, %d changes", p.From, p.Kind, len(p.Changes))}
 	}
 	return p, nil
--- a/core/zymember/table_test.go
+++ b/core/zymember/table_test.go
@@ -391,3 +391,38 @@
 		_, _ = zymember.Open(key, raw)
 	})
 }
+
+// TestSentPacketsKeepToMaxPacketSize seals pings about a suspect member, which carry
+// one change more than the others, among members with long names.
+func TestSentPacketsKeepToMaxPacketSize(t *testing.T) {
+	upstream := func(i int) zinniayoke.Upstream {
+		host := fmt.Sprintf("sidecar-makurazaki-rack-%04d/%016x", i, i)
+		return zinniayoke.Upstream{
+			Node: zinniayoke.NodeID(host), PeerAddress: fmt.Sprintf("10.128.100.%d:17620", i%250), Service: "stockroom-inventory",
+			Locality: zinniayoke.Locality{Domain: "makurazaki-west", Region: "satsuma-south"}, Slots: 1 << 40, Connections: 1 << 40,
+			Incarnation: 1 << 40,
+		}
+	}
+	now := time.Unix(0, 0)
+	table := zymember.NewTable(now, zymember.Config{Self: upstream(0), ProbePeriod: time.Second, Random: rand.New(rand.NewPCG(1, 1))})
+	for round := range 40 {
+		now = now.Add(100 * time.Millisecond)
+		var changes []zymember.Change
+		for i := 1; i < 60; i++ {
+			changes = append(changes, zymember.Change{Upstream: upstream(i), Status: zinniayoke.MemberSuspect, Incarnation: zinniayoke.Incarnation(1<<40 + round)})
+		}
+		table.Merge(now, changes)
+		for _, out := range append(table.Tick(now), table.Gossip()...) {
+			raw, err := zymember.Seal(key, &out.Packet)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(raw) > zymember.MaxPacketSize {
+				t.Fatalf("a packet of %d bytes with %d changes, want at most %d", len(raw), len(out.Packet.Changes), zymember.MaxPacketSize)
+			}
+			if _, err := zymember.Open(key, raw); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+}
--- a/core/zytree/tree.go
+++ b/core/zytree/tree.go
@@ -47,13 +47,34 @@
 	return order
 }
 
+// ReaderOrder returns the nodes of a failure domain in the order in which they become
+// readers of the log.
+func ReaderOrder(domain zinniayoke.Domain, members []zinniayoke.NodeID) []zinniayoke.NodeID {
+	return RendezvousOrder("reader "+string(domain), members)
+}
+
 // IsLogReader reports whether self is one of the nodes that read the log for the
 // failure domain. members are the nodes of that domain.
 func IsLogReader(self zinniayoke.NodeID, domain zinniayoke.Domain, members []zinniayoke.NodeID) bool {
-	order := RendezvousOrder("reader "+string(domain), members)
+	order := ReaderOrder(domain, members)
 	return slices.Contains(order[:min(LogReaders, len(order))], self)
 }
 
+// CheckpointWriter returns the node that writes checkpoints of the bundle to the log:
+// one of the log readers of all failure domains, as only they know the end of the log.
+// It returns the zero value if there are no members.
+func CheckpointWriter(members map[zinniayoke.Domain][]zinniayoke.NodeID) zinniayoke.NodeID {
+	var readers []zinniayoke.NodeID
+	for domain, nodes := range members {
+		order := ReaderOrder(domain, nodes)
+		readers = append(readers, order[:min(LogReaders, len(order))]...)
+	}
+	if len(readers) == 0 {
+		return ""
+	}
+	return RendezvousOrder("checkpoint", readers)[0]
+}
+
 // Children returns the nodes to which self forwards a bundle that spreads from root.
 // The members form a tree with root at the top in which each node has up to Fanout
 // children. It returns nil if self is not in the tree.
--- a/io/zygossip/socket.go
+++ b/io/zygossip/socket.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"zinniayoke"
 	"zinniayoke/core/zymember"
 	"zinniayoke/core/zytimer"
 )
@@ -127,6 +128,14 @@
 	s.send(out)
 }
 
+// Beat sends a beat of the given reader to the addresses.
+func (s *Socket) Beat(root zinniayoke.NodeID, sequence uint64, addresses []string) {
+	s.cfg.TableLock.Lock()
+	out := s.cfg.Table.NewBeat(root, sequence, addresses)
+	s.cfg.TableLock.Unlock()
+	s.send(out)
+}
+
 // ByteCounts returns how many bytes were sent and received so far.
 func (s *Socket) ByteCounts() (sent, received int64) {
 	return s.sent.Load(), s.received.Load()
--- a/io/zynode/adapters.go
+++ b/io/zynode/adapters.go
@@ -46,13 +46,25 @@
 
 // BundleSource is an external system that decides which bundle is in force.
 type BundleSource interface {
-	// Watch calls put with the newest bundle and with each later one, until ctx
-	// is done. It calls onRead with the error of each read, which may be nil.
-	Watch(ctx context.Context, put func(b *zybundle.Bundle), onRead func(err error))
+	// Watch passes the newest bundle and each later one to w, until ctx is done.
+	Watch(ctx context.Context, w SourceWatcher)
 	// Decode parses the text of a bundle that a peer sent.
 	Decode(text []byte) (*zybundle.Bundle, error)
 }
 
+// SourceWatcher is what a BundleSource calls while it is watched.
+type SourceWatcher struct {
+	// Await is called before each read. It returns when the node has to read, or when
+	// ctx is done.
+	Await func(ctx context.Context)
+	// Put is called with each valid bundle, oldest first.
+	Put func(b *zybundle.Bundle)
+	// OnRead is called with the error of each read, which may be nil.
+	OnRead func(err error)
+	// OnInvalid is called with the error of each bundle that cannot be decoded.
+	OnInvalid func(err error)
+}
+
 // setDefaults sets the default implementations of nil fields.
 func (e *Adapters) setDefaults(n *Node) {
 	if e.CallerHandler == nil {
@@ -92,33 +104,6 @@
 	return n.cfg.Adapters.BundleSource != nil
 }
 
-// watchBundles follows the bundle source, if there is one.
-func (n *Node) watchBundles() {
-	if !n.hasBundleSource() {
-		return
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	n.stopWatching = cancel
-	go n.cfg.Adapters.BundleSource.Watch(ctx, func(b *zybundle.Bundle) {
-		if n.bundle.SetIfNewer(b) {
-			n.gossip.Gossip()
-		}
-	}, n.onStoreRead)
-}
-
-// onStoreRead logs when the bundle source becomes unreachable and reachable again.
-func (n *Node) onStoreRead(err error) {
-	unreachable := err != nil
-	if n.storeUnreachable.Swap(unreachable) == unreachable {
-		return
-	}
-	if unreachable {
-		n.log.With("error", err).With("version", n.bundle.Version()).Warn("The store is lost. The bundle in force stays.")
-		return
-	}
-	n.log.With("version", n.bundle.Version()).Info("The store is reachable again.")
-}
-
 const findWorkerTimeout = 500 * time.Millisecond
 
 // findWorker looks in the background for a worker that started before the node, so
--- a/io/zynode/bundle_distributor.go
+++ b/io/zynode/bundle_distributor.go
@@ -26,8 +26,19 @@
 	// if the nodes agree on the bundle themselves.
 	decode func(text []byte) (*zybundle.Bundle, error)
 
+	// onFetched is called after each fetch from a peer.
+	onFetched func()
+
 	mu       sync.Mutex
 	fetching bool
+	// wanted is the newest version that was asked for while a fetch was running.
+	wanted fetchTarget
+}
+
+// fetchTarget is a version and the peer that has it.
+type fetchTarget struct {
+	version zinniayoke.Version
+	address string
 }
 
 const distributeTimeout = 2 * time.Second
@@ -98,7 +109,7 @@
 }
 
 // FetchIfNewer fetches the bundle in the background from a peer whose version is
-// newer. While one fetch is running, further ones are skipped.
+// newer. While one fetch is running, only the newest of the further ones is kept.
 func (d *bundleDistributor) FetchIfNewer(version zinniayoke.Version, address string) {
 	if version <= d.bundle.Version() {
 		return
@@ -106,20 +117,33 @@
 	d.mu.Lock()
 	busy := d.fetching
 	d.fetching = true
+	if version > d.wanted.version {
+		d.wanted = fetchTarget{version: version, address: address}
+	}
 	d.mu.Unlock()
 	if busy {
 		return
 	}
-	go func() {
-		defer d.fetchDone()
-		_ = d.Fetch(address)
-	}()
+	go d.fetchWanted()
 }
 
-func (d *bundleDistributor) fetchDone() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.fetching = false
+// fetchWanted fetches until no newer version is wanted.
+func (d *bundleDistributor) fetchWanted() {
+	for {
+		d.mu.Lock()
+		next := d.wanted
+		d.wanted = fetchTarget{}
+		newer := next.version > d.bundle.Version()
+		d.fetching = newer
+		d.mu.Unlock()
+		if !newer {
+			return
+		}
+		if err := d.Fetch(next.address); err != nil {
+			d.log.With("peer", next.address).With("version", next.version).With("error", err).Debug("A newer bundle could not be fetched.")
+		}
+		d.onFetched()
+	}
 }
 
 // Fetch fetches the bundle that a peer has in force and adopts it.
--- a/io/zynode/join.go
+++ b/io/zynode/join.go
@@ -10,6 +10,7 @@
 
 	"zinniayoke"
 	"zinniayoke/core/zymember"
+	"zinniayoke/core/zytree"
 	"zinniayoke/io/zypeer"
 )
 
@@ -51,24 +52,19 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), discoveryTimeout)
 	defer cancel()
-	if !n.announced.Load() {
-		err := n.discovery.Announce(ctx, n.id, n.peerAddress)
-		n.announced.Store(err == nil)
-		if err != nil {
-			n.log.With("error", err).Warn("The address of the node could not be announced for discovery.")
-		}
-	}
 	found, err := n.discovery.FindPeers(ctx)
 	if err != nil {
 		n.log.With("error", err).Warn("Discovery of other nodes failed.")
 	}
 	unknown := n.unknownAddresses(append(slices.Clone(n.cfg.Settings.Seeds), found...))
-	candidates := unknown[:min(len(unknown), maxJoinAddresses)]
-	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
-	synced := n.syncWithAny(candidates, max(len(found), len(n.view.PeerAddresses())))
+	rand.Shuffle(len(unknown), func(i, j int) { unknown[i], unknown[j] = unknown[j], unknown[i] })
+	synced := n.syncWithAny(unknown[:min(len(unknown), maxJoinAddresses)], max(len(found), len(n.view.PeerAddresses())))
 	if synced > 0 || len(unknown) == 0 && err == nil {
 		n.joined.Store(true)
 	}
+	if err == nil && !slices.Contains(found, n.peerAddress) && (synced == 0 || n.isReader()) {
+		n.announce()
+	}
 	if n.hasBundleSource() {
 		return
 	}
@@ -77,6 +73,27 @@
 	}
 }
 
+// announce publishes the address of this node. Only the readers of each failure domain
+// are published, and nodes that found nobody: whoever joins one node learns of the
+// others from it.
+func (n *Node) announce() {
+	ctx, cancel := context.WithTimeout(context.Background(), discoveryTimeout)
+	defer cancel()
+	if err := n.discovery.Announce(ctx, n.id, n.peerAddress); err != nil {
+		n.log.With("error", err).Warn("The address of the node could not be announced for discovery.")
+	}
+}
+
+// isReader reports whether this node is one of those that read what all nodes need from
+// the store.
+func (n *Node) isReader() bool {
+	if r := n.reader.Load(); r != nil {
+		return r.IsReading()
+	}
+	domain := n.cfg.Settings.Locality.Domain
+	return zytree.IsLogReader(n.id, domain, n.view.KeyOwners(domain))
+}
+
 // unknownAddresses returns the addresses that belong to no known member, each once.
 func (n *Node) unknownAddresses(addresses []string) []string {
 	known := map[string]bool{n.peerAddress: true}
@@ -141,12 +158,13 @@
 	return int(synced.Load())
 }
 
-// rejoinIfDue repeats discovery and the join when the rejoin interval has passed.
+// rejoinIfDue repeats discovery and the join when the rejoin interval has passed. Nodes
+// that have joined leave it to the readers.
 func (n *Node) rejoinIfDue(now time.Time) {
-	if now.Before(n.nextJoin) {
+	if now.Before(n.nextJoin) || n.joined.Load() && !n.isReader() {
 		return
 	}
-	if n.rejoinInterval == 0 || !n.joined.Load() || !n.announced.Load() {
+	if n.rejoinInterval == 0 || !n.joined.Load() {
 		n.rejoinInterval = minRejoinInterval
 	}
 	maxInterval := max(maxRejoinInterval, time.Duration(len(n.view.PeerAddresses()))*time.Second/discoveryReadsPerSecond)
--- a/io/zynode/log_follower.go
+++ b/io/zynode/log_follower.go
@@ -117,14 +117,12 @@
 }
 
 // checkpoint appends the bundle in force to the stream again every
-// checkpointPeriod, well before its records expire. Only the node that ranks first
-// among all nodes does it, and only if it is a log reader of its failure domain too
-// (see Poll); otherwise nobody does.
+// checkpointPeriod, well before its records expire. One of the log readers does it.
 func (f *logFollower) checkpoint(now time.Time) {
 	if f.lastCheckpoint.IsZero() {
 		f.lastCheckpoint = now
 	}
-	if now.Sub(f.lastCheckpoint) < checkpointPeriod || f.bundle.Current() == nil || !f.isCheckpointWriter() {
+	if now.Sub(f.lastCheckpoint) < checkpointPeriod || f.bundle.Current() == nil || zytree.CheckpointWriter(f.view.AllKeyOwners()) != f.self {
 		return
 	}
 	f.lastCheckpoint = now
@@ -147,16 +145,3 @@
 	}
 	return nil
 }
-
-// isCheckpointWriter reports whether this node ranks first among all nodes for
-// writing checkpoints.
-func (f *logFollower) isCheckpointWriter() bool {
-	var nodes []zinniayoke.NodeID
-	for _, m := range f.view.Members() {
-		if isPresent(m) {
-			nodes = append(nodes, m.Upstream.Node)
-		}
-	}
-	order := zytree.RendezvousOrder("checkpoint", nodes)
-	return len(order) > 0 && order[0] == f.self
-}
--- a/io/zynode/member_view.go
+++ b/io/zynode/member_view.go
@@ -10,12 +10,14 @@
 	"zinniayoke"
 	"zinniayoke/core/zybundle"
 	"zinniayoke/core/zymember"
+	"zinniayoke/core/zytree"
 )
 
 // memberView provides lookups in the member list, from a snapshot that is rebuilt
 // after each change. It implements zinniayoke.Resolver and zykeyowner.Membership.
 type memberView struct {
 	self   zinniayoke.NodeID
+	domain zinniayoke.Domain
 	bundle func() *zybundle.Bundle
 
 	recorder zinniayoke.EventRecorder
@@ -32,14 +34,17 @@
 	byNode    map[zinniayoke.NodeID]zymember.Member
 	byService map[zinniayoke.Service][]zinniayoke.Upstream
 	keyOwners map[zinniayoke.Domain][]zinniayoke.NodeID
+	// readerOrder holds the key owners of the local failure domain in the order in which
+	// they become readers of the bundle source.
+	readerOrder []zinniayoke.NodeID
 	// presentHosts and lostHosts count the hosts of each failure domain. A host is
 	// lost until a later run of its node replaces it or it is removed from the list.
 	presentHosts map[zinniayoke.Domain]int
 	lostHosts    map[zinniayoke.Domain]int
 }
 
-func newMemberView(self zinniayoke.NodeID, bundle func() *zybundle.Bundle) *memberView {
-	v := &memberView{self: self, bundle: bundle, recorder: zinniayoke.NopEventRecorder{}}
+func newMemberView(self zinniayoke.NodeID, domain zinniayoke.Domain, bundle func() *zybundle.Bundle) *memberView {
+	v := &memberView{self: self, domain: domain, bundle: bundle, recorder: zinniayoke.NopEventRecorder{}}
 	v.current.Store(&snapshot{})
 	return v
 }
@@ -67,6 +72,7 @@
 		s.add(m)
 	}
 	s.countHosts()
+	s.readerOrder = zytree.ReaderOrder(v.domain, s.keyOwners[v.domain])
 	v.recordChanges(v.current.Swap(s), s)
 }
 
@@ -137,6 +143,11 @@
 	return v.current.Load().keyOwners[d]
 }
 
+// AllKeyOwners returns the nodes that may own keys, by failure domain.
+func (v *memberView) AllKeyOwners() map[zinniayoke.Domain][]zinniayoke.NodeID {
+	return v.current.Load().keyOwners
+}
+
 // RecoveryNodes returns the nodes that may have key records: those that are present,
 // and those that were lost, with the time of the loss. A node that left as planned
 // has handed its records over.
--- a/io/zynode/member_view_bench_test.go
+++ b/io/zynode/member_view_bench_test.go
@@ -16,7 +16,7 @@
 func BenchmarkRefresh(b *testing.B) {
 	for _, n := range []int{460, 920, 1840, 4600} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			v := newMemberView("self/1", nil)
+			v := newMemberView("self/1", "d1", nil)
 			v.mu = sync.Mutex{}
 			v.table = zymember.NewTable(time.Now(), zymember.Config{
 				Self: zinniayoke.Upstream{Node: "self/1"}, ProbePeriod: time.Second, Random: rand.New(rand.NewPCG(1, 1)),
--- a/io/zynode/node.go
+++ b/io/zynode/node.go
@@ -102,14 +102,12 @@
 	listeners     listeners
 	// joined is true once the node has exchanged member lists with another node or
 	// knows of no other node.
-	joined atomic.Bool
-	joinMu sync.Mutex
-	// announced is true once discovery has accepted the address of the node.
-	announced        atomic.Bool
-	nextJoin         time.Time
-	rejoinInterval   time.Duration
-	stopWatching     context.CancelFunc
-	storeUnreachable atomic.Bool
+	joined         atomic.Bool
+	joinMu         sync.Mutex
+	nextJoin       time.Time
+	rejoinInterval time.Duration
+	// reader is nil if the nodes agree on the bundle through the shared log.
+	reader atomic.Pointer[bundleReader]
 	// settings are the ones read most recently; cfg.Settings are those of the start.
 	settings     atomic.Pointer[zysettings.Settings]
 	retryBudgets *zyattempt.ServiceRetryBudgets
@@ -204,8 +202,8 @@
 func (n *Node) initServers() error {
 	s := n.cfg.Settings
 	n.distributor = &bundleDistributor{
-		decode: n.cfg.Adapters.decoder(),
-		self:   n.id, domain: s.Locality.Domain, bundle: n.bundle, view: n.view, client: n.client, log: n.logger.ForComponent("bundle"),
+		decode: n.cfg.Adapters.decoder(), onFetched: n.onBundleFetched,
+		self: n.id, domain: s.Locality.Domain, bundle: n.bundle, view: n.view, client: n.client, log: n.logger.ForComponent("bundle"),
 	}
 	n.follower = &logFollower{
 		self: n.id, domain: s.Locality.Domain, sharedLog: n.sharedLog, bundle: n.bundle, view: n.view,
@@ -261,10 +259,10 @@
 	n.gossip = zygossip.New(zygossip.Config{
 		Conn: n.listeners.gossip, Key: n.cfg.Settings.PeerKey, Table: n.view.table, TableLock: &n.view.mu,
 		Timer: n.timer, Period: n.cfg.ProbePeriod,
-		OnPacket: func(p *zymember.Packet) { n.distributor.FetchIfNewer(p.Version, p.FromAddress) },
+		OnPacket: n.onPacket,
 		OnChange: n.onMembershipChange,
 	})
-	n.watchBundles()
+	n.startReader()
 	for i, listener := range []net.Listener{n.listeners.caller, n.listeners.upstream, n.listeners.admin} {
 		go n.serve(n.httpServers[i], listener)
 	}
@@ -295,6 +293,36 @@
 	)
 }
 
+// startReader begins to follow the bundle source, if there is one.
+func (n *Node) startReader() {
+	if !n.hasBundleSource() {
+		return
+	}
+	r := &bundleReader{
+		self: n.id, domain: n.cfg.Settings.Locality.Domain, source: n.cfg.Adapters.BundleSource,
+		bundle: n.bundle, view: n.view, gossip: n.gossip, distributor: n.distributor,
+		log: n.logger.ForComponent("reader"), joined: n.joined.Load,
+	}
+	r.Start(n.timer)
+	n.reader.Store(r)
+}
+
+// onBundleFetched passes beats on that had to wait for a bundle from a peer.
+func (n *Node) onBundleFetched() {
+	if r := n.reader.Load(); r != nil {
+		r.confirmPending()
+	}
+}
+
+// onPacket handles the version that a packet of another node carries.
+func (n *Node) onPacket(p *zymember.Packet) {
+	if r := n.reader.Load(); r != nil {
+		r.HandlePacket(p)
+		return
+	}
+	n.distributor.FetchIfNewer(p.Version, p.FromAddress)
+}
+
 // onMembershipChange rebuilds the view and releases key slots that other nodes own now.
 func (n *Node) onMembershipChange() {
 	n.view.refresh()
--- a/io/zynode/request_path.go
+++ b/io/zynode/request_path.go
@@ -31,7 +31,7 @@
 // initMembership creates the member table and the tracker of requests that are
 // suspected of crashing workers.
 func (n *Node) initMembership() {
-	n.view = newMemberView(n.id, n.bundle.Current)
+	n.view = newMemberView(n.id, n.cfg.Settings.Locality.Domain, n.bundle.Current)
 	n.view.recorder = n.recorder
 	seed := uint64(time.Now().UnixNano())
 	n.quarantine = zyquarantine.New(zyquarantine.Config{MaxRecords: maxCrashRecords, CrashThreshold: n.crashThreshold()})
--- a/io/zynode/state.go
+++ b/io/zynode/state.go
@@ -52,6 +52,8 @@
 	RecordsSkipped int   `json:"recordsSkipped"`
 	ResidentBytes  int64 `json:"residentBytes"`
 	Goroutines     int   `json:"goroutines"`
+	// ReadsStore is true while this node reads the store for its failure domain.
+	ReadsStore bool `json:"readsStore"`
 }
 
 // State returns a snapshot of the node for operators.
@@ -61,7 +63,7 @@
 		Worker: n.localUpstream(), Load: n.receiver.Load(), Totals: n.meter.Totals(),
 		Members: n.view.Members(), CrashRecords: n.quarantine.Records(),
 		Keys:    KeyState{Owned: n.keyOwner.Len(), Granted: n.grants.Len(), Attempts: n.fence.Len()},
-		Control: ControlPlaneState{RecordsSkipped: n.bundle.Skipped(), ResidentBytes: residentBytes(), Goroutines: runtime.NumGoroutine()},
+		Control: ControlPlaneState{RecordsSkipped: n.bundle.Skipped(), ResidentBytes: residentBytes(), Goroutines: runtime.NumGoroutine(), ReadsStore: n.isReader()},
 	}
 	if bundle := n.bundle.Current(); bundle != nil {
 		s.Hash = bundle.Hash
@@ -108,6 +110,12 @@
 	gauge("control_bytes_sent", "Bytes of membership packets sent.", func() float64 {
 		return float64(n.State().Control.BytesSent)
 	})
+	gauge("reads_store", "1 while the node reads the store for its failure domain.", func() float64 {
+		if n.isReader() {
+			return 1
+		}
+		return 0
+	})
 	gauge("resident_bytes", "Resident memory of the process.", func() float64 { return float64(residentBytes()) })
 }
 
--- a/io/zynode/stop.go
+++ b/io/zynode/stop.go
@@ -89,8 +89,8 @@
 }
 
 func (n *Node) close() {
-	if n.stopWatching != nil {
-		n.stopWatching()
+	if r := n.reader.Load(); r != nil {
+		r.Stop()
 	}
 	for _, server := range n.httpServers {
 		_ = server.Close()
