platform, io/zynode: a store that comes back from a copy

Cause: a drill may bring the store back some seconds older, with offsets that are given out again. A reader went on by its old offset, so that it missed the records in between or got a 410 only if its offset was beyond the end; announcements of nodes were gone until the next rejoin, and a late response of before the drill was taken for a current one.

A position is an offset in an era; a read from a position of another era fails with a typed error and starts again from the newest configuration. Readers log the rise, and look for their own announcement at once. A node that exchanges member lists learns the version of the other, so that one that starts during a drill does not keep the copy's older configuration.

--- a/failure.go
+++ b/failure.go
@@ -56,6 +56,18 @@
 	return fmt.Sprintf("stream %s: records before offset %d have expired", e.Stream, e.First)
 }
 
+// EraError reports that the store responded in another era than expected: either it has
+// come back from a copy since the offset of the request was obtained, or the response is
+// a late one from before that.
+type EraError struct {
+	Expected, Found StoreEra
+}
+
+// Error returns both eras.
+func (e *EraError) Error() string {
+	return fmt.Sprintf("the response is of store era %d, expected era %d", e.Found, e.Expected)
+}
+
 // LogError reports that an operation on the log failed. Indeterminate is true if
 // an append may have taken effect although its response was not received.
 type LogError struct {
--- a/identifier.go
+++ b/identifier.go
@@ -53,6 +53,10 @@
 // Offset is the position of a record in a stream of the log.
 type Offset uint64
 
+// StoreEra counts how often the platform's store came back from a copy, after which it
+// lacks the records of some seconds. Offsets of different eras cannot be compared.
+type StoreEra uint64
+
 // Stream is the name of a stream of the log.
 type Stream string
 
--- a/io/zynode/adapters.go
+++ b/io/zynode/adapters.go
@@ -61,6 +61,9 @@
 	Put func(b *zybundle.Bundle)
 	// OnRead is called with the error of each read, which may be nil.
 	OnRead func(err error)
+	// OnEra is called when the source has come back from a copy, so that what nodes wrote
+	// there in the last seconds may be gone.
+	OnEra func(era zinniayoke.StoreEra)
 	// OnInvalid is called with the error of each bundle that cannot be decoded.
 	OnInvalid func(err error)
 }
--- a/io/zynode/bundle_reader.go
+++ b/io/zynode/bundle_reader.go
@@ -30,6 +30,8 @@
 	log         *zylogger.ComponentLogger
 	// joined reports whether the member list of another node has been copied.
 	joined func() bool
+	// rejoin repeats discovery and the announcement of this node soon.
+	rejoin func()
 
 	mu    sync.Mutex
 	watch *zywatch.Watch
@@ -74,7 +76,7 @@
 	var ctx context.Context
 	ctx, r.cancel = context.WithCancel(context.Background())
 	r.ticker = timer.Every(readerTickPeriod, r.onTick)
-	go r.source.Watch(ctx, SourceWatcher{Await: r.await, Put: r.put, OnRead: r.onRead, OnInvalid: r.onInvalid})
+	go r.source.Watch(ctx, SourceWatcher{Await: r.await, Put: r.put, OnRead: r.onRead, OnEra: r.onEra, OnInvalid: r.onInvalid})
 }
 
 // Stop ends following the source.
@@ -152,6 +154,12 @@
 	}
 }
 
+func (r *bundleReader) onEra(era zinniayoke.StoreEra) {
+	r.log.With("era", era).With("version", r.bundle.Version()).Warn(
+		"The store has come back from a copy. The bundle in force stays, and the addresses of the readers are announced again.")
+	r.rejoin()
+}
+
 func (r *bundleReader) onInvalid(err error) {
 	r.log.With("error", err).With("version", r.bundle.Version()).Warn("A configuration in the store is invalid and has been skipped.")
 }
--- a/io/zynode/join.go
+++ b/io/zynode/join.go
@@ -161,10 +161,14 @@
 // rejoinIfDue repeats discovery and the join when the rejoin interval has passed. Nodes
 // that have joined leave it to the readers.
 func (n *Node) rejoinIfDue(now time.Time) {
-	if now.Before(n.nextJoin) || n.joined.Load() && !n.isReader() {
+	if n.joined.Load() && !n.isReader() {
 		return
 	}
-	if n.rejoinInterval == 0 || !n.joined.Load() {
+	soon := n.rejoinSoon.Swap(false)
+	if now.Before(n.nextJoin) && !soon {
+		return
+	}
+	if soon || n.rejoinInterval == 0 || !n.joined.Load() {
 		n.rejoinInterval = minRejoinInterval
 	}
 	maxInterval := max(maxRejoinInterval, time.Duration(len(n.view.PeerAddresses()))*time.Second/discoveryReadsPerSecond)
@@ -191,6 +195,7 @@
 		n.log.With("error", err).With("peer", address).Warn("The member list of a peer cannot be decoded.")
 		return false
 	}
+	n.distributor.FetchIfNewer(reply.Version, address)
 	n.view.mu.Lock()
 	if n.joined.Load() {
 		n.view.table.Merge(time.Now(), changes)
--- a/io/zynode/node.go
+++ b/io/zynode/node.go
@@ -102,8 +102,10 @@
 	listeners     listeners
 	// joined is true once the node has exchanged member lists with another node or
 	// knows of no other node.
-	joined         atomic.Bool
-	joinMu         sync.Mutex
+	joined atomic.Bool
+	joinMu sync.Mutex
+	// rejoinSoon asks for the next join without waiting for nextJoin.
+	rejoinSoon     atomic.Bool
 	nextJoin       time.Time
 	rejoinInterval time.Duration
 	// reader is nil if the nodes agree on the bundle through the shared log.
@@ -301,7 +303,7 @@
 	r := &bundleReader{
 		self: n.id, domain: n.cfg.Settings.Locality.Domain, source: n.cfg.Adapters.BundleSource,
 		bundle: n.bundle, view: n.view, gossip: n.gossip, distributor: n.distributor,
-		log: n.logger.ForComponent("reader"), joined: n.joined.Load,
+		log: n.logger.ForComponent("reader"), joined: n.joined.Load, rejoin: func() { n.rejoinSoon.Store(true) },
 	}
 	r.Start(n.timer)
 	n.reader.Store(r)
--- a/io/zynode/peer_service.go
+++ b/io/zynode/peer_service.go
@@ -63,7 +63,7 @@
 	if err != nil {
 		n.log.With("error", err).Warn("The member list could not be encoded for a peer.")
 	}
-	return &zypeer.SyncReply{Packed: packed}
+	return &zypeer.SyncReply{Packed: packed, Version: n.bundle.Version()}
 }
 
 // ExchangeBundle handles a bundle offer and returns the version in force.
--- a/io/zypeer/message.go
+++ b/io/zypeer/message.go
@@ -72,6 +72,8 @@
 // SyncReply holds the members in the parts that differ, encoded by zymember.PackList.
 type SyncReply struct {
 	Packed []byte `codec:"p"`
+	// Version is the bundle version in force at the receiver.
+	Version zinniayoke.Version `codec:"v"`
 }
 
 // BundleArgs offers a bundle by its version, sends it as a lineage or a patch, or asks
