core/zyattempt, core/zyingress: the worker's node admits retries

Cause: each node spent half of its own part of the retry budget on whatever failed first. Reads enter at all nodes, calls of workers at 14 of them, so that reads, which need one call, had hardly any retries, and half of the budget was left as a reserve for calls of repeated runs.

Change: the node of the worker counts first arrivals and admits retries within the ratio, so the total holds for every window without agreement. Calls of a repeated run are marked and charged. 0.85 of the budget is used; above it, precedence decides: clients' calls first. A worker that has rejected a call may get it again, as attempts limits the workers and not the sends. In the queue, calls for bookings wait at least half of their maximum.

--- a/core/zyadmission/queue.go
+++ b/core/zyadmission/queue.go
@@ -111,10 +111,14 @@
 	return lessByRank(a, b)
 }
 
-// importanceSteps is the number of steps of importance between the calls of workers for
-// the most important requests, which are ordered as if they could wait a part in
-// importanceSteps of their maximum wait, and those that get all of it.
-const importanceSteps = 4
+// The calls of workers for the most important requests are ordered as if they could wait
+// firstStep parts in importanceSteps of their maximum wait, and those of each step of
+// importance below one part more. With firstStep 1 they would overtake the reads of
+// callers, which need one call each and not eight.
+const (
+	firstStep       = 2
+	importanceSteps = 4
+)
 
 // orderedWait returns the wait by which the item is ordered.
 func (i Item) orderedWait() time.Duration {
@@ -122,7 +126,7 @@
 	if i.Depth == 0 {
 		return wait
 	}
-	step := min(zyrank.StepsBelowHighest(i.Rank)+1, importanceSteps)
+	step := min(zyrank.StepsBelowHighest(i.Rank)+firstStep, importanceSteps)
 	return wait * time.Duration(step) / importanceSteps
 }
 
--- a/core/zyattempt/service_retry.go
+++ b/core/zyattempt/service_retry.go
@@ -1,6 +1,7 @@
 package zyattempt
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -21,17 +22,39 @@
 	// bucketCount is the number of buckets into which a window is divided for
 	// counting.
 	bucketCount = 10
-	// directShare is the part of the budget that a node spends on its own retries.
-	// The rest covers the child calls of a repeated run, which count as retries too.
-	directShare = 0.5
+	// keptBuckets is how many buckets are kept of first sends.
+	keptBuckets = bucketCount + bucketCount/2
+	// usedShare is the part of the budget that is spent. The rest covers calls of
+	// repeated runs that could not be recognized as such.
+	usedShare = 0.85
 	// maxServices limits the table; the design is for 510 services.
 	maxServices = 4096
+	// cutoffPeriod is how often the lowest precedence that gets a retry is set.
+	cutoffPeriod = 500 * time.Millisecond
+	// spendingTime is the time over which a budget that is left over is spent, so that
+	// retries of low precedence cannot use it up at once.
+	spendingTime = 5 * time.Second
+	// reserveShare is the part of the budget that is kept for changes in what is asked for.
+	reserveShare = 0.15
+	// minPlaces is the least number of retries that a period is meant to have, so that a
+	// small budget may be spent at once.
+	minPlaces = 8
+	// maxSamples limits the precedences that are kept of one period.
+	maxSamples = 4096
 )
 
+// Precedence orders the retries to a service; those with the higher one go first.
+type Precedence uint32
+
+// FirstPrecedence is the lowest precedence of retries that may use the whole budget at
+// any time.
+const FirstPrecedence Precedence = 1 << 31
+
 // ServiceRetryBudgets limits the retries to each service, that is the sends beyond
 // the first of each call. Each node keeps to its own part of the budget, so that
-// the nodes need not communicate to keep the total. It may be used by several
-// goroutines. ServiceRetryBudgets must be created with NewServiceRetryBudgets.
+// the nodes need not communicate to keep the total. While more retries are asked for
+// than the budget allows, those with the highest precedence get them. It may be used by
+// several goroutines. ServiceRetryBudgets must be created with NewServiceRetryBudgets.
 type ServiceRetryBudgets struct {
 	cfg ServiceRetryConfig
 	// start is the origin of the buckets. It has a monotonic clock reading, so that
@@ -41,11 +64,24 @@
 	services map[zinniayoke.Service]*sendCounts
 }
 
-// sendCounts is a ring of buckets; bucket is the number of the newest one.
+// sendCounts is a ring of buckets; bucket is the number of the newest one. Retries are
+// counted over one bucket more than first sends, so that no window of any phase exceeds
+// the budget.
 type sendCounts struct {
 	bucket     int64
-	firstSends [bucketCount]int
-	retries    [bucketCount]int
+	firstSends [keptBuckets]int
+	// nodes is NodeCount at the end of each bucket.
+	nodes   [keptBuckets]int
+	retries [bucketCount + 1]int
+
+	// cutoff is the lowest precedence that gets a retry, set at periodStart.
+	cutoff      Precedence
+	periodStart time.Time
+	// asked holds the precedences of the retries that were asked for since periodStart.
+	asked []Precedence
+	// places is how many retries the period is meant to have, and granted how many it
+	// has had.
+	places, granted int
 }
 
 // NewServiceRetryBudgets returns budgets without any recorded sends.
@@ -65,31 +101,95 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if c := b.countsFor(now, service); c != nil {
-		c.firstSends[c.bucket%bucketCount]++
+		c.firstSends[c.bucket%keptBuckets]++
+	}
+}
+
+// RecordRetry counts a send that is charged to the budget without asking: the first send
+// of a call that a repeated run makes.
+func (b *ServiceRetryBudgets) RecordRetry(now time.Time, service zinniayoke.Service) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c := b.countsFor(now, service); c != nil {
+		c.retries[c.bucket%(bucketCount+1)]++
 	}
 }
 
 // Spend takes one retry and reports whether the budget allows it.
-func (b *ServiceRetryBudgets) Spend(now time.Time, service zinniayoke.Service) bool {
+func (b *ServiceRetryBudgets) Spend(now time.Time, service zinniayoke.Service, p Precedence) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := b.countsFor(now, service)
 	if c == nil {
 		return false
 	}
-	firstSends, retries := 0, 0
-	for i := range bucketCount {
-		firstSends += c.firstSends[i]
-		retries += c.retries[i]
+	allowed, retries := b.allowed(c), c.retryCount()
+	if now.Sub(c.periodStart) >= cutoffPeriod {
+		c.setCutoff(now, allowed, retries, b.cfg.Window)
 	}
-	allowed := directShare * (b.cfg.Ratio*float64(firstSends) + b.cfg.Slack/float64(max(b.cfg.NodeCount(), 1)))
-	if float64(retries+1) > allowed {
+	if len(c.asked) < maxSamples {
+		c.asked = append(c.asked, p)
+	}
+	if p < c.cutoff || c.granted >= c.places && p < FirstPrecedence || float64(retries+1) > allowed {
 		return false
 	}
-	c.retries[c.bucket%bucketCount]++
+	c.granted++
+	c.retries[c.bucket%(bucketCount+1)]++
 	return true
 }
 
+// allowed returns how many retries a window may have. The platform counts the first
+// sends of the window or those of the one half a window before. Callers whose first calls
+// fail make no further ones, so that the latter are more when workers begin to fail. They
+// are used unless nodes have been added: then calls that this node got before go to
+// others now, which count them too.
+func (b *ServiceRetryBudgets) allowed(c *sendCounts) float64 {
+	nodes := max(b.cfg.NodeCount(), 1)
+	c.nodes[c.bucket%keptBuckets] = nodes
+	current, earlier, fewer := 0, 0, false
+	for i := range min(int64(keptBuckets), c.bucket+1) {
+		n := c.firstSends[(c.bucket-i)%keptBuckets]
+		if i < bucketCount {
+			current += n
+		}
+		if i >= bucketCount/2 {
+			earlier += n
+		}
+		before := c.nodes[(c.bucket-i)%keptBuckets]
+		fewer = fewer || before > 0 && before < nodes
+	}
+	if !fewer {
+		current = max(current, earlier)
+	}
+	return usedShare * (b.cfg.Ratio*float64(current) + b.cfg.Slack/float64(nodes))
+}
+
+func (c *sendCounts) retryCount() int {
+	sum := 0
+	for _, n := range c.retries {
+		sum += n
+	}
+	return sum
+}
+
+// setCutoff sets the cutoff for the next period. If as many retries are asked for as in
+// the last one, they replace those that leave the window, and use what is left of the
+// budget, but for the reserve, within spendingTime.
+func (c *sendCounts) setCutoff(now time.Time, allowed float64, retries int, window time.Duration) {
+	rate := float64(retries)/window.Seconds() + ((1-reserveShare)*allowed-float64(retries))/spendingTime.Seconds()
+	c.places, c.granted = max(int(rate*cutoffPeriod.Seconds()), minPlaces), 0
+	asked := c.asked
+	if now.Sub(c.periodStart) >= 2*cutoffPeriod {
+		asked = nil // They are too old to tell what comes next.
+	}
+	c.cutoff = 0
+	if len(asked) > c.places {
+		slices.Sort(asked)
+		c.cutoff = min(asked[len(asked)-c.places], FirstPrecedence)
+	}
+	c.asked, c.periodStart = c.asked[:0], now
+}
+
 // countsFor returns the counts of a service, with expired buckets cleared, or nil
 // if the table is full.
 func (b *ServiceRetryBudgets) countsFor(now time.Time, service zinniayoke.Service) *sendCounts {
@@ -99,15 +199,15 @@
 		if len(b.services) >= maxServices {
 			return nil
 		}
-		c = &sendCounts{bucket: bucket}
+		c = &sendCounts{bucket: bucket, places: minPlaces}
 		b.services[service] = c
 	}
-	if bucket-c.bucket >= bucketCount || bucket < c.bucket {
-		*c = sendCounts{bucket: bucket}
+	if bucket-c.bucket > keptBuckets || bucket < c.bucket {
+		*c = sendCounts{bucket: bucket, places: minPlaces}
 	}
 	for c.bucket < bucket {
 		c.bucket++
-		c.firstSends[c.bucket%bucketCount], c.retries[c.bucket%bucketCount] = 0, 0
+		c.firstSends[c.bucket%keptBuckets], c.nodes[c.bucket%keptBuckets], c.retries[c.bucket%(bucketCount+1)] = 0, 0, 0
 	}
 	return c
 }
--- a/core/zyegress/sender.go
+++ b/core/zyegress/sender.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -35,10 +36,10 @@
 	Locality zinniayoke.Locality
 	// LinkBudget limits the traffic to other regions; nil means no limit.
 	LinkBudget *zybalancer.LinkBudget
-	// ServiceRetryBudget limits the retries to each service. If it is set, it is
-	// used instead of RetryBudgets, and only sends that were delivered to a worker
-	// count against the attempt budget of a request.
-	ServiceRetryBudget *zyattempt.ServiceRetryBudgets
+	// WorkersLimitRetries is true if the nodes of the workers limit the retries to their
+	// service, instead of RetryBudgets. Then the attempt budget of a request counts the
+	// workers to which it was delivered; a worker that has rejected it may get it again.
+	WorkersLimitRetries bool
 	// OnReply is called with each valid reply to a call of the route; it may be nil.
 	OnReply func(now time.Time, route zinniayoke.RouteName, r *zinniayoke.Reply)
 	// Recorder records the end of each attempt; nil discards the events.
@@ -57,6 +58,9 @@
 	// call is refused. Each costs a round trip, and if four nodes have no capacity,
 	// the service is most likely full.
 	maxUndelivered = 4
+	// maxRejections is the number of rejections by workers after which a call is refused.
+	// While workers reject half of their calls, one in 256 calls gets that many.
+	maxRejections = 8
 	// messageOverhead is the assumed size of a message without its body.
 	messageOverhead zinniayoke.Bytes = 512
 )
@@ -112,9 +116,15 @@
 	// mayHaveRun is true once an attempt may have reached a worker.
 	mayHaveRun bool
 	// to is the node chosen for the latest attempt.
-	to zinniayoke.NodeID
+	to zinniayoke.Upstream
 	// undelivered counts the replies that report no delivery to a worker.
 	undelivered int
+	// rejectedBy lists the workers that have rejected the call, without having run it.
+	rejectedBy []zinniayoke.Upstream
+	// rejections counts the rejections.
+	rejections int
+	// delivered is true once an attempt was delivered to a worker.
+	delivered bool
 	// exclusive is true for a request suspected of crashing workers, which may run
 	// only on a single upstream and is not retried.
 	exclusive bool
@@ -130,7 +140,7 @@
 		retry := reply.Outcome != zinniayoke.OutcomeDone && s.mayRetry(ctx, f, reply)
 		s.cfg.Recorder.Record(&zinniayoke.Event{
 			Kind: zinniayoke.EventAttemptEnded, Request: f.Call.Request, Attempt: reply.Attempt, Route: f.Call.Route,
-			Service: f.Call.Service, Node: f.to, Reason: reply.Reason, Outcome: reply.Outcome, Threshold: reply.Threshold,
+			Service: f.Call.Service, Node: f.to.Node, Reason: reply.Reason, Outcome: reply.Outcome, Threshold: reply.Threshold,
 			TimeLeft: time.Until(f.Call.Deadline), WillRetry: retry, Detail: reply.Detail,
 		})
 		if !retry {
@@ -145,9 +155,16 @@
 	if reply.Outcome == zinniayoke.OutcomeUnknown {
 		f.mayHaveRun = true
 	}
-	if !reply.Delivered {
+	switch {
+	case !reply.Delivered:
 		f.undelivered++
+	case reply.Outcome == zinniayoke.OutcomeNotRun && reply.Reason == zinniayoke.ReasonShed:
+		f.rejections++
+		if !slices.ContainsFunc(f.rejectedBy, func(u zinniayoke.Upstream) bool { return u.Node == f.to.Node }) {
+			f.rejectedBy = append(f.rejectedBy, f.to)
+		}
 	}
+	f.delivered = f.delivered || reply.Delivered || reply.Outcome == zinniayoke.OutcomeUnknown
 	f.last = reply
 }
 
@@ -163,14 +180,17 @@
 
 // mayRetry reports whether another attempt is safe, useful and within the budgets.
 func (s *Sender) mayRetry(ctx context.Context, f *sendState, reply *zinniayoke.Reply) bool {
-	if ctx.Err() != nil || f.Budget.Remaining() < 1 {
+	if ctx.Err() != nil {
 		return false
 	}
 	if reply.Outcome == zinniayoke.OutcomeUnknown && f.Route.NeverRepeat || f.exclusive {
 		return false
 	}
-	if s.cfg.ServiceRetryBudget != nil {
-		return s.mayRetryWithServiceBudget(f, reply)
+	if s.cfg.WorkersLimitRetries {
+		return s.mayAskWorkersNode(f, reply)
+	}
+	if f.Budget.Remaining() < 1 {
+		return false
 	}
 	switch reply.Reason {
 	case zinniayoke.ReasonDraining, zinniayoke.ReasonNotReady:
@@ -183,21 +203,24 @@
 	}
 }
 
-// mayRetryWithServiceBudget implements mayRetry if ServiceRetryBudget is set. A
-// send that was not delivered to a worker costs only a message, so a few more nodes
-// are tried without charging the retry budget.
-func (s *Sender) mayRetryWithServiceBudget(f *sendState, reply *zinniayoke.Reply) bool {
+// mayAskWorkersNode implements mayRetry if WorkersLimitRetries is set. A send that was
+// not delivered to a worker costs only a message, so a few more nodes are tried.
+func (s *Sender) mayAskWorkersNode(f *sendState, reply *zinniayoke.Reply) bool {
 	switch reply.Reason {
-	case zinniayoke.ReasonDeadline, zinniayoke.ReasonCancelled, zinniayoke.ReasonQuarantined, zinniayoke.ReasonLinkBudget:
+	case zinniayoke.ReasonDeadline, zinniayoke.ReasonCancelled, zinniayoke.ReasonQuarantined, zinniayoke.ReasonLinkBudget,
+		zinniayoke.ReasonRetryBudget:
 		return false
 	}
-	if !s.hasUntriedUpstream(f) {
+	if f.undelivered >= maxUndelivered || f.rejections >= maxRejections {
 		return false
 	}
-	if !reply.Delivered && reply.Outcome == zinniayoke.OutcomeNotRun {
-		return f.undelivered < maxUndelivered
-	}
-	return s.cfg.ServiceRetryBudget.Spend(time.Now(), f.Call.Service)
+	return f.Budget.Remaining() >= 1 && s.hasUntriedUpstream(f) || f.mayReturnToRejecting()
+}
+
+// mayReturnToRejecting reports whether the call may go again to a worker that has
+// rejected it: no other worker may get it, and none has run it.
+func (f *sendState) mayReturnToRejecting() bool {
+	return len(f.rejectedBy) > 0 && !f.mayHaveRun
 }
 
 // hasUntriedUpstream reports whether there is an upstream that is not excluded.
@@ -217,11 +240,15 @@
 	if refusal != nil {
 		return refusedReply(f.Call, refusal)
 	}
-	f.to = to.Node
+	f.to = to
 	if !s.takeLinkBudget(f.Call, to) {
 		return refusedReply(f.Call, zinniayoke.NewRefusedError(zinniayoke.ReasonLinkBudget, "the link to "+string(to.Locality.Region)+" is full"))
 	}
-	share, ok := f.Budget.StartSend(f.Route.ChildCalls)
+	returns := slices.ContainsFunc(f.rejectedBy, func(u zinniayoke.Upstream) bool { return u.Node == to.Node })
+	share, ok := zinniayoke.Tokens(0), true
+	if !returns {
+		share, ok = f.Budget.StartSend(f.Route.ChildCalls)
+	}
 	if !ok {
 		return refusedReply(f.Call, zinniayoke.NewRefusedError(zinniayoke.ReasonAttemptsSpent, "the request has used up its attempts"))
 	}
@@ -231,12 +258,9 @@
 		return refusedReply(f.Call, zinniayoke.NewRefusedError(zinniayoke.ReasonStaleEpoch, "the key is kept elsewhere now"))
 	}
 	f.excluded = append(f.excluded, to.Node)
-	if s.cfg.ServiceRetryBudget != nil && len(f.excluded) == len(f.Avoid)+1 {
-		s.cfg.ServiceRetryBudget.RecordFirstSend(time.Now(), f.Call.Service)
-	}
 	reply := s.exchange(ctx, to, a)
 	f.Budget.Refund(min(reply.Unused, share))
-	if s.cfg.ServiceRetryBudget != nil && !reply.Delivered && reply.Outcome == zinniayoke.OutcomeNotRun {
+	if s.cfg.WorkersLimitRetries && !returns && !reply.Delivered && reply.Outcome == zinniayoke.OutcomeNotRun {
 		f.Budget.Refund(1)
 	}
 	if reply.Outcome == zinniayoke.OutcomeDone {
@@ -256,6 +280,9 @@
 			return u, nil
 		}
 	}
+	if s.cfg.WorkersLimitRetries && f.mayReturnToRejecting() && (f.Budget.Remaining() < 1 || !s.hasUntriedUpstream(f)) {
+		return f.rejectedBy[f.rejections%len(f.rejectedBy)], nil
+	}
 	u, ok := s.cfg.Picker.Pick(time.Now(), c.Service, c.Rank, f.excluded)
 	if !ok && len(f.excluded) == len(f.Avoid) {
 		u, ok = s.cfg.Picker.Pick(time.Now(), c.Service, c.Rank, nil)
@@ -294,7 +321,7 @@
 		Method: c.Method, Host: c.Host, Path: c.Path, Query: c.Query, Headers: c.Headers, Body: c.Body,
 		BodyHash: c.BodyHash, Key: c.Key, Grant: f.Grant, Rank: c.Rank, Timeout: time.Until(c.Deadline),
 		Tokens: share, Depth: c.Depth, Version: c.Version, MaxWait: c.MaxWait,
-		RefusedElsewhere: f.undelivered > 0,
+		RefusedElsewhere: f.undelivered > 0, Resent: f.delivered, InRepeatedRun: c.InRepeatedRun,
 	}
 }
 
--- a/core/zyentry/child.go
+++ b/core/zyentry/child.go
@@ -126,6 +126,7 @@
 	// The rank of the root request goes down the chain of calls, so that all of them are
 	// preferred alike.
 	presumed := cs.chain.Parent()
+	c.InRepeatedRun = presumed.Repeated
 	c.Depth = presumed.Depth + 1
 	c.Rank = zyrank.WithImportance(zyrank.ImportanceOf(presumed.Rank)|zyrank.ChildImportance, presumed.Rank)
 }
--- a/core/zyingress/receiver.go
+++ b/core/zyingress/receiver.go
@@ -19,6 +19,7 @@
 	"zinniayoke/core/zyidempotency"
 	"zinniayoke/core/zyparent"
 	"zinniayoke/core/zyquarantine"
+	"zinniayoke/core/zyrank"
 	"zinniayoke/core/zytimer"
 )
 
@@ -40,6 +41,9 @@
 	// set both or neither.
 	Graph   *zygraph.Graph
 	Callers *zygraph.CallerClassifier
+	// RetryBudgets limits the retries to the worker; nil means that the senders limit
+	// them.
+	RetryBudgets *zyattempt.ServiceRetryBudgets
 	// Recorder records the decision about each attempt; nil means none.
 	Recorder zinniayoke.EventRecorder
 	// AnnouncementTTL is how long an announcement stays valid; 0 means 3 s.
@@ -183,11 +187,14 @@
 	if err := r.checkQuarantine(decision, c); err != nil {
 		return nil, err
 	}
+	if err := r.chargeRetry(now, c.attempt); err != nil {
+		return nil, err
+	}
 	r.calls[c.attempt.ID] = c
 	if r.cfg.Callers != nil {
 		c.calledByWorkers = r.cfg.Callers.Observe(now, c.attempt.Route, c.attempt.Caller)
 	}
-	if !c.attempt.RefusedElsewhere {
+	if !c.attempt.RefusedElsewhere && !c.attempt.Resent {
 		r.excess.CountArrival(now)
 	}
 	item := zyadmission.Item{
@@ -198,6 +205,38 @@
 	return r.worker, nil
 }
 
+// chargeRetry counts the attempt for the retry budget of the worker's service, and
+// returns an error if it is a retry that the budget does not allow.
+func (r *Receiver) chargeRetry(now time.Time, a *zinniayoke.Attempt) error {
+	budgets := r.cfg.RetryBudgets
+	switch {
+	case budgets == nil:
+	case a.Resent:
+		if !budgets.Spend(now, a.Service, retryPrecedence(a)) {
+			return zinniayoke.NewRefusedError(zinniayoke.ReasonRetryBudget, "the retries of the service are kept for other calls")
+		}
+	case a.RefusedElsewhere:
+	case a.InRepeatedRun:
+		budgets.RecordRetry(now, a.Service)
+	default:
+		budgets.RecordFirstSend(now, a.Service)
+	}
+	return nil
+}
+
+// retryPrecedence returns the precedence of a retry. A call of a client is whole with
+// this one send; one of a worker is one of several that its request needs, so that
+// retries are worth most if all calls of some requests get them and those of others none.
+// The hash of the root request in the rank chooses the same ones at each worker.
+func retryPrecedence(a *zinniayoke.Attempt) zyattempt.Precedence {
+	importance := zyrank.ImportanceOf(a.Rank) & zyrank.MaxRootImportance
+	p := zyattempt.Precedence(zyrank.WithImportance(importance, a.Rank))
+	if a.Depth == 0 {
+		p |= zyattempt.FirstPrecedence
+	}
+	return p
+}
+
 // checkAvailable returns an error if the worker currently accepts no calls. r.mu
 // must be held.
 func (r *Receiver) checkAvailable(now time.Time, a *zinniayoke.Attempt) error {
@@ -250,6 +289,7 @@
 	parent := &zyparent.Parent{
 		Request: a.Request, Caller: a.Caller, Route: a.Route, Key: a.Key, Rank: a.Rank, Depth: a.Depth, Version: a.Version,
 		Deadline: c.arrived.Add(a.Timeout), Budget: zyattempt.NewBudget(a.Tokens, a.Tokens), Done: ctx.Done(),
+		Repeated: a.Resent || a.InRepeatedRun,
 	}
 	handle := r.cfg.Parents.Add(parent)
 	startedAt := time.Now()
--- a/core/zyparent/table.go
+++ b/core/zyparent/table.go
@@ -25,6 +25,8 @@
 	Version  zinniayoke.Version
 	Budget   *zyattempt.Budget
 	Done     <-chan struct{}
+	// Repeated is true if the call was resent, or belongs to a run of such a call.
+	Repeated bool
 
 	mu sync.Mutex
 	// children is the number of child calls in progress.
--- a/enum_enumer.go
+++ b/enum_enumer.go
@@ -114,11 +114,11 @@
 	return err
 }
 
-const _ReasonName = "nonemalformedtokennoRoutekeyReusedtooLargequarantinedcallerLimitshednoUpstreamanswerLostdeadlineattemptsSpentdrainingstaleEpochfencedkeyUncertainhomeUnreachabletableFullcancellednotReadylinkBudget"
+const _ReasonName = "nonemalformedtokennoRoutekeyReusedtooLargequarantinedcallerLimitshednoUpstreamanswerLostdeadlineattemptsSpentdrainingstaleEpochfencedkeyUncertainhomeUnreachabletableFullcancellednotReadylinkBudgetretryBudget"
 
-var _ReasonIndex = [...]uint8{0, 4, 13, 18, 25, 34, 42, 53, 64, 68, 78, 88, 96, 109, 117, 127, 133, 145, 160, 169, 178, 186, 196}
+var _ReasonIndex = [...]uint8{0, 4, 13, 18, 25, 34, 42, 53, 64, 68, 78, 88, 96, 109, 117, 127, 133, 145, 160, 169, 178, 186, 196, 207}
 
-const _ReasonLowerName = "nonemalformedtokennoroutekeyreusedtoolargequarantinedcallerlimitshednoupstreamanswerlostdeadlineattemptsspentdrainingstaleepochfencedkeyuncertainhomeunreachabletablefullcancellednotreadylinkbudget"
+const _ReasonLowerName = "nonemalformedtokennoroutekeyreusedtoolargequarantinedcallerlimitshednoupstreamanswerlostdeadlineattemptsspentdrainingstaleepochfencedkeyuncertainhomeunreachabletablefullcancellednotreadylinkbudgetretrybudget"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -153,9 +153,10 @@
 	_ = x[ReasonCancelled-(19)]
 	_ = x[ReasonNotReady-(20)]
 	_ = x[ReasonLinkBudget-(21)]
+	_ = x[ReasonRetryBudget-(22)]
 }
 
-var _ReasonValues = []Reason{ReasonNone, ReasonMalformed, ReasonToken, ReasonNoRoute, ReasonKeyReused, ReasonTooLarge, ReasonQuarantined, ReasonCallerLimit, ReasonShed, ReasonNoUpstream, ReasonAnswerLost, ReasonDeadline, ReasonAttemptsSpent, ReasonDraining, ReasonStaleEpoch, ReasonFenced, ReasonKeyUncertain, ReasonHomeUnreachable, ReasonTableFull, ReasonCancelled, ReasonNotReady, ReasonLinkBudget}
+var _ReasonValues = []Reason{ReasonNone, ReasonMalformed, ReasonToken, ReasonNoRoute, ReasonKeyReused, ReasonTooLarge, ReasonQuarantined, ReasonCallerLimit, ReasonShed, ReasonNoUpstream, ReasonAnswerLost, ReasonDeadline, ReasonAttemptsSpent, ReasonDraining, ReasonStaleEpoch, ReasonFenced, ReasonKeyUncertain, ReasonHomeUnreachable, ReasonTableFull, ReasonCancelled, ReasonNotReady, ReasonLinkBudget, ReasonRetryBudget}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:4]:     ReasonNone,
@@ -180,6 +181,7 @@
 	_ReasonName[169:178]: ReasonCancelled,
 	_ReasonName[178:186]: ReasonNotReady,
 	_ReasonName[186:196]: ReasonLinkBudget,
+	_ReasonName[196:207]: ReasonRetryBudget,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -205,6 +207,7 @@
 	_ReasonLowerName[169:178]: ReasonCancelled,
 	_ReasonLowerName[178:186]: ReasonNotReady,
 	_ReasonLowerName[186:196]: ReasonLinkBudget,
+	_ReasonLowerName[196:207]: ReasonRetryBudget,
 }
 
 var _ReasonNames = []string{
@@ -230,6 +233,7 @@
 	_ReasonName[169:178],
 	_ReasonName[178:186],
 	_ReasonName[186:196],
+	_ReasonName[196:207],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/io/zynode/request_path.go
+++ b/io/zynode/request_path.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -93,17 +94,17 @@
 	n.picker = zybalancer.New(zybalancer.Config{
 		Locality: n.cfg.Settings.Locality, Resolver: n.view, Links: n.linkBudget, CrossRegionPenalty: n.crossRegionPenalty(), Random: rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1)),
 	})
+	n.retryBudgets = n.newRetryBudgets()
 	n.receiver = zyingress.New(zyingress.Config{
 		Node: n.id, Bundle: n.bundle.Current, Fence: n.fence, Grants: n.grants, Quarantine: n.quarantine,
 		Parents: parents, Timer: n.timer, Meter: n.meter, OnCrash: n.broadcastCrashRecords,
 		AnnouncementTTL: n.cfg.Settings.Worker.Heartbeat * maxMissedHeartbeats, FixedLimit: n.hasBundleSource(),
-		Recorder: n.recorder, Graph: graph, Callers: callers,
+		Recorder: n.recorder, Graph: graph, Callers: callers, RetryBudgets: n.retryBudgets,
 	})
-	n.retryBudgets = n.newRetryBudgets()
 	sender := zyegress.New(zyegress.Config{
 		Peers: &loopbackClient{self: n.id, receiver: n.receiver, remote: n.client}, Picker: n.picker, Resolver: n.view, Thresholds: thresholds,
 		RetryBudgets: zyattempt.NewCallerRetryBudgets(), Quarantine: n.quarantine, Meter: n.meter, Bundle: n.bundle.Current,
-		Locality: n.cfg.Settings.Locality, LinkBudget: n.linkBudget, ServiceRetryBudget: n.retryBudgets, OnReply: onReply, Recorder: n.recorder,
+		Locality: n.cfg.Settings.Locality, LinkBudget: n.linkBudget, WorkersLimitRetries: n.retryBudgets != nil, OnReply: onReply, Recorder: n.recorder,
 	})
 	n.keyOwners = &keyOwnerClient{
 		self: n.id, view: n.view, client: n.client, bundle: n.bundle.Current, queryLocal: n.receiver.Query,
@@ -171,7 +172,8 @@
 }
 
 // newRetryBudgets returns the service retry budgets, nil if the settings define none.
-// Each budget is divided among all nodes.
+// The slack is divided among the nodes of the workers of the local service. A node that
+// does not know them yet has no part of it.
 func (n *Node) newRetryBudgets() *zyattempt.ServiceRetryBudgets {
 	r := n.cfg.Settings.ServiceRetryBudget
 	if r.Window == 0 {
@@ -179,7 +181,12 @@
 	}
 	return zyattempt.NewServiceRetryBudgets(zyattempt.ServiceRetryConfig{
 		Ratio: r.Ratio, Window: r.Window, Slack: r.Slack,
-		NodeCount: func() int { return len(n.view.PeerAddresses()) + 1 },
+		NodeCount: func() int {
+			if !n.joined.Load() {
+				return math.MaxInt32
+			}
+			return len(n.view.Upstreams(n.cfg.Settings.Worker.Service))
+		},
 	})
 }
 
--- a/message.go
+++ b/message.go
@@ -37,6 +37,8 @@
 	Version  Version
 	// MaxWait limits how long the call may queue for a worker; 0 means the default.
 	MaxWait time.Duration `codec:"Patience"`
+	// InRepeatedRun is true if the call is made by a run of a call that was resent.
+	InRepeatedRun bool
 }
 
 // Attempt is one send of a call to the node of a worker.
@@ -67,6 +69,10 @@
 	// RefusedElsewhere is true if another node refused the call before. That node
 	// has already counted the call as demand.
 	RefusedElsewhere bool `codec:"ag"`
+	// Resent is true if an earlier attempt of the call was delivered to a worker.
+	Resent bool `codec:"rs"`
+	// InRepeatedRun is true if the call is made by a run of a call that was resent.
+	InRepeatedRun bool `codec:"rr"`
 }
 
 // Grant is the permission to run an idempotency key once, issued by the owner of
--- a/outcome.go
+++ b/outcome.go
@@ -55,6 +55,9 @@
 	// ReasonLinkBudget means that the node's share of a link to another region is used
 	// up.
 	ReasonLinkBudget
+	// ReasonRetryBudget means that the call was delivered to a worker before, and that the
+	// retry budget of the service is kept for calls that need it more.
+	ReasonRetryBudget
 )
 
 // WorkerState is the lifecycle state that a worker announces.
