core/zyattempt: retries for requests that have made calls before

Cause: while workers reject half of their calls, retries that spread over all calls make hardly any request whole: a sheet needs four calls in a row.

Change: a call carries how many calls its run has made before, and retries go first to those with the most. A run that fails at its first call costs little.

--- a/core/zyegress/sender.go
+++ b/core/zyegress/sender.go
@@ -321,7 +321,7 @@
 		Method: c.Method, Host: c.Host, Path: c.Path, Query: c.Query, Headers: c.Headers, Body: c.Body,
 		BodyHash: c.BodyHash, Key: c.Key, Grant: f.Grant, Rank: c.Rank, Timeout: time.Until(c.Deadline),
 		Tokens: share, Depth: c.Depth, Version: c.Version, MaxWait: c.MaxWait,
-		RefusedElsewhere: f.undelivered > 0, Resent: f.delivered, InRepeatedRun: c.InRepeatedRun,
+		RefusedElsewhere: f.undelivered > 0, Resent: f.delivered, InRepeatedRun: c.InRepeatedRun, EarlierCalls: c.EarlierCalls,
 	}
 }
 
--- a/core/zyentry/child.go
+++ b/core/zyentry/child.go
@@ -127,6 +127,7 @@
 	// preferred alike.
 	presumed := cs.chain.Parent()
 	c.InRepeatedRun = presumed.Repeated
+	c.EarlierCalls = cs.chain.Ended()
 	c.Depth = presumed.Depth + 1
 	c.Rank = zyrank.WithImportance(zyrank.ImportanceOf(presumed.Rank)|zyrank.ChildImportance, presumed.Rank)
 }
--- a/core/zyingress/receiver.go
+++ b/core/zyingress/receiver.go
@@ -225,16 +225,22 @@
 }
 
 // retryPrecedence returns the precedence of a retry. A call of a client is whole with
-// this one send; one of a worker is one of several that its request needs, so that
-// retries are worth most if all calls of some requests get them and those of others none.
-// The hash of the root request in the rank chooses the same ones at each worker.
+// this one send. Of the calls of workers, those of runs that have already made most of
+// their calls go first, because they need the fewest further sends to be whole. Then
+// importance decides, and the hash of the root request, which is the same at each worker.
 func retryPrecedence(a *zinniayoke.Attempt) zyattempt.Precedence {
+	const (
+		maxEarlier      = 7
+		earlierShift    = 28
+		importanceShift = 21
+		hashMask        = 1<<16 - 1
+	)
 	importance := zyrank.ImportanceOf(a.Rank) & zyrank.MaxRootImportance
-	p := zyattempt.Precedence(zyrank.WithImportance(importance, a.Rank))
+	p := zyattempt.Precedence(importance)<<importanceShift | zyattempt.Precedence(a.Rank&hashMask)
 	if a.Depth == 0 {
-		p |= zyattempt.FirstPrecedence
+		return p | zyattempt.FirstPrecedence
 	}
-	return p
+	return p | zyattempt.Precedence(min(a.EarlierCalls, maxEarlier))<<earlierShift
 }
 
 // checkAvailable returns an error if the worker currently accepts no calls. r.mu
--- a/core/zyparent/chain.go
+++ b/core/zyparent/chain.go
@@ -20,6 +20,7 @@
 	table      *Table
 	parent     *Parent
 	inProgress int
+	ended      int
 	lastEnd    time.Time
 }
 
@@ -52,11 +53,19 @@
 	return c.parent
 }
 
+// Ended returns how many calls of the chain have ended.
+func (c *Chain) Ended() int {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	return c.ended
+}
+
 // End records the end of a call of the chain.
 func (c *Chain) End(now time.Time) {
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
 	c.inProgress--
+	c.ended++
 	c.lastEnd = now
 }
 
--- a/message.go
+++ b/message.go
@@ -39,6 +39,9 @@
 	MaxWait time.Duration `codec:"Patience"`
 	// InRepeatedRun is true if the call is made by a run of a call that was resent.
 	InRepeatedRun bool
+	// EarlierCalls is how many calls the run that makes this one has made before, as far
+	// as known.
+	EarlierCalls int
 }
 
 // Attempt is one send of a call to the node of a worker.
@@ -73,6 +76,9 @@
 	Resent bool `codec:"rs"`
 	// InRepeatedRun is true if the call is made by a run of a call that was resent.
 	InRepeatedRun bool `codec:"rr"`
+	// EarlierCalls is how many calls the run that makes this one has made before, as far
+	// as known.
+	EarlierCalls int `codec:"ec"`
 }
 
 // Grant is the permission to run an idempotency key once, issued by the owner of
