core/zyingress: a refused retry reports its callers

Cause: a retry that the budget refused was refused before its node looked at the caller, and the reply said that clients make such calls. The sender went by that for the next calls, which then had the precedence of clients' calls and used up the budget.

Change: the caller is observed before the budget is asked.

--- a/core/zyingress/receiver.go
+++ b/core/zyingress/receiver.go
@@ -187,13 +187,14 @@
 	if err := r.checkQuarantine(decision, c); err != nil {
 		return nil, err
 	}
+	if r.cfg.Callers != nil {
+		// A refusal reports this too: the sender goes by the last reply.
+		c.calledByWorkers = r.cfg.Callers.Observe(now, c.attempt.Route, c.attempt.Caller)
+	}
 	if err := r.chargeRetry(now, c.attempt); err != nil {
 		return nil, err
 	}
 	r.calls[c.attempt.ID] = c
-	if r.cfg.Callers != nil {
-		c.calledByWorkers = r.cfg.Callers.Observe(now, c.attempt.Route, c.attempt.Caller)
-	}
 	if !c.attempt.RefusedElsewhere && !c.attempt.Resent {
 		r.excess.CountArrival(now)
 	}
