core/zyattempt, core/zygraph: importance before the number of calls made

Change: among runs that have made calls before, importance goes first. Also, a refusal by a node that did not look at the caller, as one that is stopping, no longer changes what is known of the caller (TestRefusalKeepsCaller failed before).

--- a/core/zyattempt/service_retry.go
+++ b/core/zyattempt/service_retry.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"zinniayoke"
+	"zinniayoke/core/zyrank"
 )
 
 // ServiceRetryConfig configures ServiceRetryBudgets. In each window, all nodes
@@ -50,6 +51,33 @@
 // any time.
 const FirstPrecedence Precedence = 1 << 31
 
+const (
+	hashBits        = 16
+	earlierBits     = 3
+	earlierShift    = hashBits
+	importanceShift = earlierShift + earlierBits
+	begunShift      = 30
+)
+
+// PrecedenceOf returns the precedence of a retry. A call of a client is whole with this
+// one send. Of the calls of workers, those of runs that have made calls before go first:
+// that work is paid for, and a run that fails at its first call costs little. Then the
+// importance of the root request decides, the number of calls made before, because the
+// run needs the fewer further ones to be whole, and at last the hash of the root request,
+// which prefers the same requests at each worker.
+func PrecedenceOf(a *zinniayoke.Attempt) Precedence {
+	p := Precedence(a.Rank & (1<<hashBits - 1))
+	p |= Precedence(min(a.EarlierCalls, 1<<earlierBits-1)) << earlierShift
+	p |= Precedence(zyrank.ImportanceOf(a.Rank)&zyrank.MaxRootImportance) << importanceShift
+	if a.EarlierCalls > 0 {
+		p |= 1 << begunShift
+	}
+	if a.Depth == 0 {
+		p |= FirstPrecedence
+	}
+	return p
+}
+
 // ServiceRetryBudgets limits the retries to each service, that is the sends beyond
 // the first of each call. Each node keeps to its own part of the budget, so that
 // the nodes need not communicate to keep the total. While more retries are asked for
--- a/core/zyattempt/service_retry_test.go
+++ b/core/zyattempt/service_retry_test.go
@@ -8,6 +8,7 @@
 
 	"pgregory.net/rapid"
 
+	"zinniayoke"
 	"zinniayoke/core/zyattempt"
 )
 
@@ -88,7 +89,7 @@
 	left int // calls of the request that are still to be made, this one included
 	// sends counts the sends of this call.
 	sends int
-	hash  zyattempt.Precedence
+	rank  zinniayoke.Rank
 }
 
 // simCalls implements heap.Interface by time.
@@ -136,15 +137,16 @@
 		})
 	}
 	precedence := func(c simCall) zyattempt.Precedence {
-		if kinds[c.kind].calls == 1 {
-			return zyattempt.FirstPrecedence | c.hash
+		a := &zinniayoke.Attempt{Rank: c.rank, EarlierCalls: kinds[c.kind].calls - c.left}
+		if kinds[c.kind].calls > 1 {
+			a.Depth = 3
 		}
-		return zyattempt.Precedence(kinds[c.kind].calls-c.left)<<28 | c.hash
+		return zyattempt.PrecedenceOf(a)
 	}
 	var pending simCalls
 	for i, k := range kinds {
 		for at := time.Duration(0); at < stormEnd; at += time.Second / time.Duration(k.perSecond) {
-			pending = append(pending, simCall{at: at, kind: i, left: k.calls, hash: zyattempt.Precedence(random.Uint32() & 0xffff)})
+			pending = append(pending, simCall{at: at, kind: i, left: k.calls, rank: zinniayoke.Rank(random.Uint32() & 0xffff)})
 		}
 	}
 	whole, ended := make([]int, len(kinds)), make([]int, len(kinds))
--- a/core/zygraph/graph.go
+++ b/core/zygraph/graph.go
@@ -39,7 +39,7 @@
 
 // callStats describes a route that the worker may call.
 type callStats struct {
-	// calledByWorkers is Reply.CalledByWorkers of the last reply to a call of the route.
+	// calledByWorkers is Reply.CalledByWorkers of the last reply that knew.
 	calledByWorkers bool
 	// count and matched decay with halfLife; matched counts calls by parent route.
 	count   float64
@@ -134,16 +134,20 @@
 	return total >= minMatches && c.matched[parent] >= minMatchShare*total
 }
 
-// ObserveReply records what the reply to a call of the route reports.
-func (g *Graph) ObserveReply(now time.Time, r zinniayoke.RouteName, calledByWorkers bool, costs []zinniayoke.ServiceCost) {
+// ObserveReply records what the reply to a call of the route reports. A refusal may come
+// from a node that does not know who calls the route, so that it does not change a known
+// caller.
+func (g *Graph) ObserveReply(now time.Time, r zinniayoke.RouteName, reply *zinniayoke.Reply) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c := g.statsOf(r)
 	if c == nil {
 		return
 	}
-	c.calledByWorkers = calledByWorkers
-	for _, cost := range costs {
+	if reply.Delivered || reply.CalledByWorkers {
+		c.calledByWorkers = reply.CalledByWorkers
+	}
+	for _, cost := range reply.Costs {
 		if old, ok := c.costs[cost.Service]; ok && now.Sub(old.at) < costTTL {
 			const weight = 0.25
 			cost.ExcessShare = old.ExcessShare + weight*(cost.ExcessShare-old.ExcessShare)
--- a/core/zygraph/graph_test.go
+++ b/core/zygraph/graph_test.go
@@ -84,11 +84,11 @@
 				parent = "order"
 			}
 			g.ObserveCall(now, "spec", parent)
-			g.ObserveReply(now, "spec", true, []zinniayoke.ServiceCost{{Service: "settings", Cost: 0.04, ExcessShare: 0.3}})
+			g.ObserveReply(now, "spec", &zinniayoke.Reply{Delivered: true, CalledByWorkers: true, Costs: []zinniayoke.ServiceCost{{Service: "settings", Cost: 0.04, ExcessShare: 0.3}}})
 		}
 		// A client on the host calls another service; no run causes this cost.
 		g.ObserveCall(now, "read", "")
-		g.ObserveReply(now, "read", false, []zinniayoke.ServiceCost{{Service: "other", Cost: 1, ExcessShare: 1}})
+		g.ObserveReply(now, "read", &zinniayoke.Reply{Delivered: true, CalledByWorkers: false, Costs: []zinniayoke.ServiceCost{{Service: "other", Cost: 1, ExcessShare: 1}}})
 	}
 	find := func(route zinniayoke.RouteName, s zinniayoke.Service) zinniayoke.ServiceCost {
 		for _, c := range g.Costs(now, "orderdesk", route, 0.1) {
@@ -120,7 +120,7 @@
 	now := time.Now()
 	g.ObserveRun(now, "sheet", time.Second)
 	g.ObserveCall(now, "spec", "sheet")
-	g.ObserveReply(now, "spec", true, []zinniayoke.ServiceCost{{Service: "settings", Cost: 1, ExcessShare: 1}})
+	g.ObserveReply(now, "spec", &zinniayoke.Reply{Delivered: true, CalledByWorkers: true, Costs: []zinniayoke.ServiceCost{{Service: "settings", Cost: 1, ExcessShare: 1}}})
 	if n := len(g.Costs(now, "orderdesk", "sheet", 0)); n != 2 {
 		t.Fatalf("%d costs, want 2: the own service and settings", n)
 	}
@@ -128,3 +128,20 @@
 		t.Errorf("%d costs a minute later, want 1: the own service", n)
 	}
 }
+
+// TestRefusalKeepsCaller has a node refuse a call before it looks at the caller, as nodes
+// do that are stopping or have no retry left. The calls after it would count as calls of
+// clients, which go before those of workers.
+func TestRefusalKeepsCaller(t *testing.T) {
+	g := zygraph.New()
+	now := time.Now()
+	g.ObserveReply(now, "spec", &zinniayoke.Reply{Delivered: true, CalledByWorkers: true})
+	g.ObserveReply(now, "spec", &zinniayoke.Reply{Reason: zinniayoke.ReasonDraining, Outcome: zinniayoke.OutcomeNotRun})
+	if !g.CalledByWorkers("spec") {
+		t.Error("after a refusal, calls of workers count as those of clients")
+	}
+	g.ObserveReply(now, "spec", &zinniayoke.Reply{Delivered: true})
+	if g.CalledByWorkers("spec") {
+		t.Error("a reply of a worker that does not report its callers as workers is ignored")
+	}
+}
--- a/core/zyingress/receiver.go
+++ b/core/zyingress/receiver.go
@@ -19,7 +19,6 @@
 	"zinniayoke/core/zyidempotency"
 	"zinniayoke/core/zyparent"
 	"zinniayoke/core/zyquarantine"
-	"zinniayoke/core/zyrank"
 	"zinniayoke/core/zytimer"
 )
 
@@ -213,7 +212,7 @@
 	switch {
 	case budgets == nil:
 	case a.Resent:
-		if !budgets.Spend(now, a.Service, retryPrecedence(a)) {
+		if !budgets.Spend(now, a.Service, zyattempt.PrecedenceOf(a)) {
 			return zinniayoke.NewRefusedError(zinniayoke.ReasonRetryBudget, "the retries of the service are kept for other calls")
 		}
 	case a.RefusedElsewhere:
@@ -225,25 +224,6 @@
 	return nil
 }
 
-// retryPrecedence returns the precedence of a retry. A call of a client is whole with
-// this one send. Of the calls of workers, those of runs that have already made most of
-// their calls go first, because they need the fewest further sends to be whole. Then
-// importance decides, and the hash of the root request, which is the same at each worker.
-func retryPrecedence(a *zinniayoke.Attempt) zyattempt.Precedence {
-	const (
-		maxEarlier      = 7
-		earlierShift    = 28
-		importanceShift = 21
-		hashMask        = 1<<16 - 1
-	)
-	importance := zyrank.ImportanceOf(a.Rank) & zyrank.MaxRootImportance
-	p := zyattempt.Precedence(importance)<<importanceShift | zyattempt.Precedence(a.Rank&hashMask)
-	if a.Depth == 0 {
-		return p | zyattempt.FirstPrecedence
-	}
-	return p | zyattempt.Precedence(min(a.EarlierCalls, maxEarlier))<<earlierShift
-}
-
 // checkAvailable returns an error if the worker currently accepts no calls. r.mu
 // must be held.
 func (r *Receiver) checkAvailable(now time.Time, a *zinniayoke.Attempt) error {
--- a/io/zynode/request_path.go
+++ b/io/zynode/request_path.go
@@ -86,7 +86,7 @@
 		// call graph is inferred.
 		graph, callers, shedder = zygraph.New(), zygraph.NewCallerClassifier(n.view.ServiceCount), zybackpressure.NewShedder()
 		onReply = func(now time.Time, route zinniayoke.RouteName, r *zinniayoke.Reply) {
-			graph.ObserveReply(now, route, r.CalledByWorkers, r.Costs)
+			graph.ObserveReply(now, route, r)
 			shedder.UpdateCosts(now, route, r.Costs)
 		}
 	}
