--- a/core/zyadmission/threshold.go
+++ b/core/zyadmission/threshold.go
@@ -173,5 +173,5 @@
 func interpolate(bucket zinniayoke.Rank, share float64) zinniayoke.Rank {
 	const width = 1 << bucketShift
 	closed := zinniayoke.Rank((1 - max(share, 0)) * width)
-	return bucket<<bucketShift + closed
+	return bucket<<bucketShift + min(closed, width-1) // The topmost bucket has no rank above it.
 }
--- a/core/zybundle/bundle_test.go
+++ b/core/zybundle/bundle_test.go
@@ -61,6 +61,7 @@
 		{"rate = 30Mbit", "rate = 30", "accepted: bits per second above 0 with their unit"},
 		{"[link chikugo/satsuma]", "[link chikugo]", "two different regions separated by a slash"},
 		{"[link chikugo/satsuma]", "[link chikugo/mars]", "found unknown region mars"},
+		{"[link chikugo/satsuma]", "[link satsuma/chikugo]\nrate = 30Mbit\n[link chikugo/satsuma]", "a second section for the same two regions"},
 		{"defaultHome = kurume", "defaultHome = mars", "found unknown domain mars; accepted: a failure domain"},
 		{"approvals = 1", "approvals = 2", "2 approvals with 2 approvers"},
 		{"class = order", "class = gold", "found unknown class gold"},
--- a/core/zybundle/parse.go
+++ b/core/zybundle/parse.go
@@ -238,7 +238,12 @@
 		s.RejectHeader(fmt.Sprintf("%q", s.Name), "two different regions separated by a slash, such as [link north/south]")
 		return
 	}
-	b.Links[NewRegionPair(low, high)] = Link{Rate: rate}
+	pair := NewRegionPair(low, high)
+	if _, ok := b.Links[pair]; ok {
+		s.RejectHeader(fmt.Sprintf("%q, a second section for the same two regions", s.Name), "one section for each pair of regions, in either order")
+		return
+	}
+	b.Links[pair] = Link{Rate: rate}
 }
 
 func (b *Bundle) readRelease(s *zyini.Section) {
--- a/core/zybundle/reference.go
+++ b/core/zybundle/reference.go
@@ -1,7 +1,9 @@
 package zybundle
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
@@ -41,7 +43,10 @@
 	for _, name := range sortedKeys(b.Routes) {
 		b.checkRoute(file, b.Routes[name])
 	}
-	for pair := range b.Links {
+	pairs := slices.SortedFunc(maps.Keys(b.Links), func(x, y RegionPair) int {
+		return cmp.Or(cmp.Compare(x.Low, y.Low), cmp.Compare(x.High, y.High))
+	})
+	for _, pair := range pairs {
 		b.checkRegion(file, pair.Low)
 		b.checkRegion(file, pair.High)
 	}
--- a/core/zyegress/sender.go
+++ b/core/zyegress/sender.go
@@ -156,7 +156,7 @@
 		f.mayHaveRun = true
 	}
 	switch {
-	case !reply.Delivered:
+	case !reply.Delivered && reply.Outcome == zinniayoke.OutcomeNotRun:
 		f.undelivered++
 	case reply.Outcome == zinniayoke.OutcomeNotRun && reply.Reason == zinniayoke.ReasonShed:
 		f.rejections++
--- /dev/null
+++ b/core/zyegress/sender_test.go
@@ -0,0 +1,167 @@
+package zyegress_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"zinniayoke"
+	"zinniayoke/core/zyattempt"
+	"zinniayoke/core/zybalancer"
+	"zinniayoke/core/zybundle"
+	"zinniayoke/core/zyegress"
+	"zinniayoke/core/zyquarantine"
+	"zinniayoke/core/zythreshold"
+)
+
+// reply is how a node replies to one attempt.
+type reply int
+
+const (
+	done reply = iota
+	// rejected means that the worker rejected the call without running it.
+	rejected
+	// refused means that the node did not deliver the call to its worker.
+	refused
+	// noRetry means that the node refused the call for the retry budget of its service.
+	noRetry
+	// lost means that the worker may have run the call.
+	lost
+)
+
+var errConnReset = errors.New("connection reset")
+
+// fakePeers replies to the attempts in the order of replies, and to all others with the
+// last one.
+type fakePeers struct {
+	replies  []reply
+	sentTo   []zinniayoke.NodeID
+	attempts []*zinniayoke.Attempt
+}
+
+func (p *fakePeers) Run(_ context.Context, to zinniayoke.Upstream, a *zinniayoke.Attempt) (*zinniayoke.Reply, error) {
+	kind := p.replies[min(len(p.sentTo), len(p.replies)-1)]
+	p.sentTo = append(p.sentTo, to.Node)
+	p.attempts = append(p.attempts, a)
+	r := &zinniayoke.Reply{Attempt: a.ID, Request: a.Request, Unused: a.Tokens}
+	switch kind {
+	case done:
+		r.Outcome, r.Delivered = zinniayoke.OutcomeDone, true
+		r.Response = &zinniayoke.Response{Status: 200, Attempt: a.ID, Request: a.Request, Hash: 0xef46db3751d8e999}
+	case rejected:
+		r.Outcome, r.Reason, r.Delivered = zinniayoke.OutcomeNotRun, zinniayoke.ReasonShed, true
+	case refused:
+		r.Outcome, r.Reason = zinniayoke.OutcomeNotRun, zinniayoke.ReasonShed
+	case noRetry:
+		r.Outcome, r.Reason = zinniayoke.OutcomeNotRun, zinniayoke.ReasonRetryBudget
+	case lost:
+		return nil, errConnReset // Query then says that the worker may have run the call.
+	}
+	return r, nil
+}
+
+func (p *fakePeers) Query(context.Context, zinniayoke.Upstream, zinniayoke.AttemptID) (*zinniayoke.QueryReply, error) {
+	return &zinniayoke.QueryReply{State: zinniayoke.AttemptLost}, nil
+}
+
+func (p *fakePeers) Cancel(zinniayoke.Upstream, zinniayoke.AttemptID) {}
+
+// upstreams is a service of some workers.
+type upstreams int
+
+func (n upstreams) Upstreams(s zinniayoke.Service) []zinniayoke.Upstream {
+	var list []zinniayoke.Upstream
+	for i := range n {
+		list = append(list, zinniayoke.Upstream{Node: zinniayoke.NodeID(fmt.Sprint("n", i)), Service: s, State: zinniayoke.WorkerServing, Slots: 10})
+	}
+	return list
+}
+
+type nopMeter struct{}
+
+func (nopMeter) ObserveCall(zinniayoke.CallSample)       {}
+func (nopMeter) ObserveAttempt(zinniayoke.AttemptSample) {}
+func (nopMeter) CountSent(zinniayoke.Service)            {}
+func (nopMeter) CountMismatch()                          {}
+
+// TestRetries checks, for nodes of workers that limit the retries, how often a call is
+// sent, to how many workers, and what its outcome is. The route allows two workers.
+func TestRetries(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		neverRepeat bool
+		workers     upstreams
+		replies     []reply
+		sends       int
+		nodes       int
+		outcome     zinniayoke.Outcome
+	}{
+		{"done at once", false, 5, []reply{done}, 1, 1, zinniayoke.OutcomeDone},
+		{"rejected once", true, 5, []reply{rejected, done}, 2, 2, zinniayoke.OutcomeDone},
+		{"rejected by both workers, then again by one", true, 5, []reply{rejected, rejected, rejected, done}, 4, 2, zinniayoke.OutcomeDone},
+		{"rejected by the only worker", true, 1, []reply{rejected, done}, 2, 1, zinniayoke.OutcomeDone},
+		{"always rejected", true, 5, []reply{rejected}, 8, 2, zinniayoke.OutcomeNotRun},
+		{"no retry left", true, 5, []reply{rejected, noRetry}, 2, 2, zinniayoke.OutcomeNotRun},
+		{"refused by nodes, which costs no attempt", true, 5, []reply{refused, refused, refused, done}, 4, 4, zinniayoke.OutcomeDone},
+		{"refused by all nodes that are asked", true, 9, []reply{refused}, 4, 4, zinniayoke.OutcomeNotRun},
+		{"lost and may be repeated", false, 5, []reply{lost, done}, 2, 2, zinniayoke.OutcomeDone},
+		{"lost twice", false, 5, []reply{lost, lost}, 2, 2, zinniayoke.OutcomeUnknown},
+		{"lost and must not be repeated", true, 5, []reply{lost}, 1, 1, zinniayoke.OutcomeUnknown},
+		{"rejected, then lost, and must not be repeated", true, 5, []reply{rejected, lost}, 2, 2, zinniayoke.OutcomeUnknown},
+		{"lost, then rejected", false, 5, []reply{lost, rejected}, 2, 2, zinniayoke.OutcomeUnknown},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			peers := &fakePeers{replies: c.replies}
+			s := zyegress.New(zyegress.Config{
+				Peers: peers, Resolver: c.workers, Thresholds: zythreshold.New(), RetryBudgets: zyattempt.NewCallerRetryBudgets(),
+				Quarantine: zyquarantine.New(zyquarantine.Config{MaxRecords: 10}), Meter: nopMeter{}, WorkersLimitRetries: true,
+				Bundle: func() *zybundle.Bundle { return &zybundle.Bundle{} },
+				Picker: zybalancer.New(zybalancer.Config{Resolver: c.workers, Random: rand.New(rand.NewPCG(1, 1))}),
+			})
+			const attempts = 2
+			got := s.Send(context.Background(), zyegress.SendParams{
+				Call:   &zinniayoke.Call{Request: "r", Service: "s", Deadline: time.Now().Add(time.Minute)},
+				Route:  &zybundle.Route{NeverRepeat: c.neverRepeat, Attempts: attempts},
+				Budget: zyattempt.NewBudget(attempts, 1),
+			})
+			nodes := make(map[zinniayoke.NodeID]bool)
+			for _, n := range peers.sentTo {
+				nodes[n] = true
+			}
+			if len(peers.sentTo) != c.sends || len(nodes) != c.nodes || got.Outcome != c.outcome {
+				t.Errorf("sent %d times to %d nodes, outcome %s; want %d, %d, %s", len(peers.sentTo), len(nodes), got.Outcome, c.sends, c.nodes, c.outcome)
+			}
+			delivered := false
+			for i, a := range peers.attempts {
+				if a.Resent != delivered {
+					t.Errorf("attempt %d is marked as sent again: %t, want %t", i, a.Resent, delivered)
+				}
+				kind := c.replies[min(i, len(c.replies)-1)]
+				delivered = delivered || kind == rejected || kind == lost
+			}
+		})
+	}
+}
+
+// TestLostReplyIsNoRefusal checks that a call whose reply was lost is not announced to the
+// next node as one that others have refused: it is no demand that others could not meet.
+func TestLostReplyIsNoRefusal(t *testing.T) {
+	peers := &fakePeers{replies: []reply{lost, done}}
+	workers := upstreams(5)
+	s := zyegress.New(zyegress.Config{
+		Peers: peers, Resolver: workers, Thresholds: zythreshold.New(), RetryBudgets: zyattempt.NewCallerRetryBudgets(),
+		Quarantine: zyquarantine.New(zyquarantine.Config{MaxRecords: 10}), Meter: nopMeter{}, WorkersLimitRetries: true,
+		Bundle: func() *zybundle.Bundle { return &zybundle.Bundle{} },
+		Picker: zybalancer.New(zybalancer.Config{Resolver: workers, Random: rand.New(rand.NewPCG(1, 1))}),
+	})
+	s.Send(context.Background(), zyegress.SendParams{
+		Call:  &zinniayoke.Call{Request: "r", Service: "s", Deadline: time.Now().Add(time.Minute)},
+		Route: &zybundle.Route{Attempts: 2}, Budget: zyattempt.NewBudget(2, 1),
+	})
+	if len(peers.attempts) != 2 || peers.attempts[1].RefusedElsewhere {
+		t.Errorf("%d attempts, want the second one without a refusal elsewhere", len(peers.attempts))
+	}
+}
--- a/core/zyidempotency/owner.go
+++ b/core/zyidempotency/owner.go
@@ -296,6 +296,9 @@
 	e.at = now
 	switch reply.State {
 	case zinniayoke.AttemptAnswered:
+		if reply.Reply == nil {
+			return // Without the reply, the result is as little known as before.
+		}
 		e.state = reply.State
 		e.reply = reply.Reply
 		if reply.Reply.Outcome == zinniayoke.OutcomeNotRun {
--- a/core/zykeyowner/executor.go
+++ b/core/zykeyowner/executor.go
@@ -264,7 +264,7 @@
 	short, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	result, err := e.cfg.Peers.Query(short, d.Node, d.Attempt)
-	if err != nil || result.State == zinniayoke.AttemptLost {
+	if err != nil || result.State == zinniayoke.AttemptLost || result.State == zinniayoke.AttemptAnswered && result.Reply == nil {
 		return uncertainReply(c, zinniayoke.ReasonKeyUncertain, "the answer to this key is lost"), false
 	}
 	if result.State == zinniayoke.AttemptRunning {
--- a/core/zykeyowner/executor_test.go
+++ b/core/zykeyowner/executor_test.go
@@ -156,6 +156,8 @@
 			1, zinniayoke.OutcomeUnknown, zinniayoke.ReasonKeyUncertain, 0},
 		{"a key that never reached its worker runs now", system{records: records(zinniayoke.AttemptRunning), state: zinniayoke.AttemptNeverSeen, respond: done},
 			1, zinniayoke.OutcomeDone, zinniayoke.ReasonNone, 1},
+		{"a key whose worker's node has answered without the response", system{records: records(zinniayoke.AttemptRunning), state: zinniayoke.AttemptAnswered},
+			1, zinniayoke.OutcomeUnknown, zinniayoke.ReasonKeyUncertain, 0},
 		{"a key with another body", system{records: records(zinniayoke.AttemptRunning), state: zinniayoke.AttemptRunning},
 			2, zinniayoke.OutcomeUnknown, zinniayoke.ReasonKeyReused, 0},
 		{"an unknown key while a node is lost", system{lost: map[zinniayoke.NodeID]time.Time{gone: time.Now().Add(time.Hour)}, respond: done},
--- a/core/zysettings/settings.go
+++ b/core/zysettings/settings.go
@@ -5,7 +5,7 @@
 	"crypto/ed25519"
 	"fmt"
 	"net"
-	"strings"
+	"strconv"
 	"time"
 
 	"zinniayoke"
@@ -199,7 +199,8 @@
 	return zyini.ValueType[string]{
 		Parse: func(text string) (string, bool) {
 			host, port, err := net.SplitHostPort(text)
-			ok := err == nil && net.ParseIP(host) != nil && port != "" && strings.Trim(port, "0123456789") == ""
+			_, portErr := strconv.ParseUint(port, 10, 16)
+			ok := err == nil && net.ParseIP(host) != nil && portErr == nil
 			return text, ok
 		},
 		Accepted: "an IP address and a port, such as 127.0.0.1:7001",
--- a/core/zysettings/settings_test.go
+++ b/core/zysettings/settings_test.go
@@ -49,6 +49,7 @@
 		{"host = kurume-settings", "host = kurume settings", "accepted: 1 to 64 letters, digits"},
 		{"caller = 127.0.0.1:7100", "caller = localhost:7100", "accepted: an IP address and a port"},
 		{"caller = 127.0.0.1:7100", "caller = 127.0.0.1", "accepted: an IP address and a port"},
+		{"caller = 127.0.0.1:7100", "caller = 127.0.0.1:65536", "accepted: an IP address and a port"},
 		{"level = info", "level = loud", "accepted: one of debug, info, warn, error"},
 		{"grace = 15s", "grace = 15", "accepted: a duration with its unit"},
 		{"needed = 1", "needed = 0", "accepted: a whole number from 1 to 16"},
--- a/io/zylogger/eventlog.go
+++ b/io/zylogger/eventlog.go
@@ -38,6 +38,8 @@
 	suppressed int64
 	dropped    func() int64
 	lastReport time.Time
+	// droppedReported is what dropped returned at the last report.
+	droppedReported int64
 }
 
 type limiterKey struct {
@@ -83,10 +85,10 @@
 func (l *EventLog) allow(now time.Time, e *zinniayoke.Event) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if now.Sub(l.lastReport) >= reportPeriod && (l.suppressed > 0 || l.dropped() > 0) {
-		l.lastReport = now
+	if dropped := l.dropped(); now.Sub(l.lastReport) >= reportPeriod && (l.suppressed > 0 || dropped > l.droppedReported) {
+		l.lastReport, l.droppedReported = now, dropped
 		line := `{"time":"` + now.UTC().Format(time.RFC3339Nano) + `","event":"linesLeftOut","overLimit":` +
-			strconv.FormatInt(l.suppressed, 10) + `,"droppedInAll":` + strconv.FormatInt(l.dropped(), 10) + "}\n"
+			strconv.FormatInt(l.suppressed, 10) + `,"droppedInAll":` + strconv.FormatInt(dropped, 10) + "}\n"
 		l.suppressed = 0
 		_, _ = l.out.Write([]byte(line))
 	}
--- a/io/zylogger/writer_test.go
+++ b/io/zylogger/writer_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"zinniayoke"
 	"zinniayoke/io/zylogger"
@@ -109,3 +111,19 @@
 type discard struct{}
 
 func (discard) Write(p []byte) (int, error) { return len(p), nil }
+
+// TestDroppedLinesAreReportedOnce drops one line. It is reported at the next chance and
+// not again as long as no other line is left out.
+func TestDroppedLinesAreReportedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &blockableOutput{}
+		l := zylogger.NewEventLog(out, func() int64 { return 1 })
+		for range 60 {
+			time.Sleep(time.Second)
+			l.Record(&zinniayoke.Event{Kind: zinniayoke.EventMember})
+		}
+		if n := strings.Count(out.out.String(), "linesLeftOut"); n != 1 {
+			t.Errorf("%d reports of one dropped line, want one", n)
+		}
+	})
+}
--- a/io/zynode/stop.go
+++ b/io/zynode/stop.go
@@ -22,6 +22,7 @@
 	n.updateSelf()
 	n.receiver.StopAccepting()
 	sleep(ctx, max(minDrainDelay, n.settings.Load().Shutdown.DrainDelay))
+	n.drainWorker(ctx)
 	failures := []error{
 		n.httpServers[0].Shutdown(ctx),
 		n.keyExecutor.Drain(ctx),
@@ -44,6 +45,22 @@
 	closeTimeout = 150 * time.Millisecond
 )
 
+// drainWorker waits until the worker has finished its calls, for at most half of the time
+// that is left. The worker makes its child calls at the port for callers, which must stay
+// open as long. The other half is for calls of clients.
+func (n *Node) drainWorker(ctx context.Context) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return
+	}
+	const half = 2
+	ctx, cancel := context.WithTimeout(ctx, time.Until(deadline)/half)
+	defer cancel()
+	if err := n.receiver.Drain(ctx); err != nil {
+		n.log.With("error", err).Info("The worker still runs calls. The port for callers is closed now.")
+	}
+}
+
 // runWithTimeout runs f and waits for at most closeTimeout until it returns.
 func runWithTimeout(f func()) {
 	done := make(chan struct{})
