--- a/core/zyingress/announcement_test.go
+++ b/core/zyingress/announcement_test.go
@@ -19,6 +19,8 @@
 	}
 	const serving, draining, gone = zinniayoke.WorkerServing, zinniayoke.WorkerDraining, zinniayoke.WorkerGone
 	probed := zyingress.Announcement{Service: "s", Address: "a", Slots: 1, Connections: 1, State: serving, Instance: "b"}
+	leaving := probed
+	leaving.State = draining
 	exit := zyingress.Announcement{State: gone, Instance: "b"}
 	for _, c := range []struct {
 		name          string
@@ -37,12 +39,17 @@
 		{"exit of another run", []zyingress.Announcement{announcement(2, 1, serving), exit}, serving},
 		{"probed, then announced", []zyingress.Announcement{probed, announcement(1, 5, serving)}, serving},
 		{"probed, then draining", []zyingress.Announcement{probed, announcement(1, 5, draining)}, draining},
+		{"probed while it drains, then a late heartbeat", []zyingress.Announcement{leaving, announcement(1, 5, serving)}, draining},
+		{"probed while it seems to drain, then heartbeats", []zyingress.Announcement{leaving, announcement(1, 5, serving), announcement(1, 6, serving)}, serving},
+		{"probed while it drains, then the next run", []zyingress.Announcement{leaving, announcement(1, 5, draining), announcement(2, 1, serving)}, serving},
+		{"exit, then the first heartbeats that this node gets", []zyingress.Announcement{exit, announcement(1, 5, serving), announcement(1, 6, serving)}, draining},
+		{"exit, then the next run as the first that this node gets", []zyingress.Announcement{exit, announcement(2, 1, serving)}, serving},
+		{"exit, a late heartbeat, then the next run", []zyingress.Announcement{exit, announcement(1, 5, serving), announcement(2, 1, serving)}, serving},
 		{"announced, then probed", []zyingress.Announcement{announcement(1, 5, draining), probed}, draining},
 	} {
 		synctest.Test(t, func(t *testing.T) {
-			h := newHarness(1)
+			h := newHarnessWithoutWorker()
 			defer h.stop()
-			h.incarnation = 0
 			for _, a := range c.announcements {
 				// Announcements of an earlier run return an error, which is expected.
 				_, _ = h.HandleAnnouncement(a, func(zyingress.Announcement) zinniayoke.Worker { return h.worker })
--- a/core/zyingress/receiver.go
+++ b/core/zyingress/receiver.go
@@ -81,9 +81,15 @@
 	// draining is true once the node is stopping.
 	draining bool
 	// ended is true once this run of the worker has announced that it ends.
-	ended  bool
-	queue  *zyadmission.Queue
-	excess *zybackpressure.ExcessController
+	ended bool
+	// exited is an instance that has announced that it ends before this node knew its run,
+	// such as while the node restarted.
+	exited zinniayoke.Instance
+	// doubtful is true while the worker was found draining by a probe and has sent no
+	// heartbeat since.
+	doubtful bool
+	queue    *zyadmission.Queue
+	excess   *zybackpressure.ExcessController
 	// fastTick is true while the tick period is busyTickPeriod.
 	fastTick bool
 	// rejectRate is the moving average of the share of delivered calls that the
--- a/core/zyingress/receiver_test.go
+++ b/core/zyingress/receiver_test.go
@@ -96,6 +96,13 @@
 }
 
 func newHarness(slots int) *harness {
+	h := newHarnessWithoutWorker()
+	h.restartWorker(slots)
+	return h
+}
+
+// newHarnessWithoutWorker returns a harness whose worker has not announced itself yet.
+func newHarnessWithoutWorker() *harness {
 	h := &harness{
 		quarantine: zyquarantine.New(zyquarantine.Config{MaxRecords: 100}), timer: zytimer.New(),
 		grants: zyidempotency.NewGrantTable(zyidempotency.GrantTableConfig{Node: "n", MaxKeys: 100, Window: time.Minute}),
@@ -106,7 +113,7 @@
 		Fence: zyfence.New(zyfence.Config{MaxAttempts: 1000, MaxResponseBytes: 1000, Retention: time.Minute}), Parents: &zyparent.Table{},
 		Timer: h.timer, Meter: nopMeter{}, OnCrash: func(c []zyquarantine.CrashRecord) { h.crashRecords = append(h.crashRecords, c...) },
 	})
-	h.restartWorker(slots)
+	h.worker = &fakeWorker{}
 	return h
 }
 
--- a/core/zyingress/worker.go
+++ b/core/zyingress/worker.go
@@ -86,11 +86,19 @@
 	if r.worker != nil && a.Incarnation < r.announcement.Incarnation {
 		return false, &AnnouncementError{Field: "incarnation", Accepted: "one that is not older than the last"}
 	}
-	r.ended = false
 	newRun := r.newRun(a)
 	if !newRun {
 		a.State = r.nextState(a)
 	}
+	// The run of an instance whose exit came first is the one that has ended.
+	r.ended = newRun && a.Instance != "" && a.Instance == r.exited
+	if r.ended {
+		a.State = zinniayoke.WorkerDraining
+	}
+	if newRun {
+		r.exited = ""
+		r.doubtful = a.Sequence == 0 && a.State == zinniayoke.WorkerDraining
+	}
 	changed := newRun || r.gone || !a.equalState(r.announcement) || now.Sub(r.announcedAt) > r.cfg.AnnouncementTTL
 	r.gone = false
 	if newRun || a.Address != r.announcement.Address || a.Connections != r.announcement.Connections {
@@ -133,6 +141,12 @@
 	if r.announcement.State == zinniayoke.WorkerDraining && a.Sequence == 0 {
 		return zinniayoke.WorkerDraining
 	}
+	if r.doubtful && a.State == zinniayoke.WorkerServing {
+		// One heartbeat may have been sent before the worker began to drain and arrive
+		// late. A second one shows that the worker goes on, and that the probe was wrong.
+		r.doubtful = false
+		return zinniayoke.WorkerDraining
+	}
 	return a.State
 }
 
@@ -170,7 +184,11 @@
 func (r *Receiver) handleExit(id zinniayoke.Instance) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.worker == nil || r.announcement.Instance != id || r.ended {
+	if r.worker == nil || r.announcement.Instance != id {
+		r.exited = id
+		return false
+	}
+	if r.ended {
 		return false
 	}
 	r.ended = true
