core/zywatch: few nodes read a store that fails

Change: readers whose reads fail say so in their beats; then two further ranks read and no others. All nodes still read if they hear no reader at all.

--- a/core/zymember/broadcast.go
+++ b/core/zymember/broadcast.go
@@ -77,14 +77,23 @@
 	return out
 }
 
-// NewBeat returns a beat of the given reader for each of the addresses. It carries no
-// changes.
-func (t *Table) NewBeat(root zinniayoke.NodeID, sequence uint64, addresses []string) []OutgoingPacket {
+// BeatConfig describes a beat.
+type BeatConfig struct {
+	// Root is the reader that the beat started from, and Sequence its number among those
+	// of that reader.
+	Root     zinniayoke.NodeID
+	Sequence uint64
+	// Failing is true if the reads of the reader fail.
+	Failing bool
+}
+
+// NewBeat returns a beat for each of the addresses. It carries no changes.
+func (t *Table) NewBeat(cfg BeatConfig, addresses []string) []OutgoingPacket {
 	out := make([]OutgoingPacket, 0, len(addresses))
 	for _, address := range addresses {
 		out = append(out, OutgoingPacket{To: address, Packet: Packet{
 			Kind: Beat, From: t.cfg.Self.Node, FromAddress: t.self.Upstream.PeerAddress,
-			Sequence: sequence, Version: t.version, Root: root,
+			Sequence: cfg.Sequence, Version: t.version, Root: cfg.Root, Failing: cfg.Failing,
 		}})
 	}
 	return out
--- a/core/zymember/packet.go
+++ b/core/zymember/packet.go
@@ -25,7 +25,7 @@
 	PingRequest
 	// Ack acknowledges a Ping.
 	Ack
-	// Beat says that a reader of the bundle source reads it without errors.
+	// Beat says that a reader of the bundle source reads it, and whether without errors.
 	Beat
 )
 
@@ -60,6 +60,8 @@
 	// Root is the reader that a Beat started from. Sequence numbers the beats of that
 	// reader.
 	Root zinniayoke.NodeID `codec:"r"`
+	// Failing is true in a Beat if the reads of Root fail.
+	Failing bool `codec:"x"`
 }
 
 // Change is the state of one member, or a report about a suspect request.
--- a/core/zywatch/watch.go
+++ b/core/zywatch/watch.go
@@ -13,8 +13,13 @@
 // leaving them.
 const RankUnknown Rank = -1
 
-// Readers is how many nodes of each failure domain read the source all the time.
-const Readers = 2
+const (
+	// Readers is how many nodes of each failure domain read the source all the time.
+	Readers = 2
+	// substitutes is how many further nodes read while the readers say that their reads
+	// fail. All others would most likely fail too, and load a source in trouble.
+	substitutes = 2
+)
 
 const (
 	// BeatPeriod is the time between the beats of a reader.
@@ -42,6 +47,8 @@
 	lastBeat   time.Time
 	// lastSeniorBeat is when a beat of a reader with a lower rank arrived.
 	lastSeniorBeat time.Time
+	// lastFailingBeat is when a reader last said that its reads fail.
+	lastFailingBeat time.Time
 	// healthy is true while the last read of this node has succeeded.
 	healthy bool
 }
@@ -65,6 +72,11 @@
 	}
 }
 
+// ObserveFailingBeat records a beat of a reader whose reads fail.
+func (w *Watch) ObserveFailingBeat(now time.Time) {
+	w.lastFailingBeat = now
+}
+
 // ObserveRead records the result of a read by this node.
 func (w *Watch) ObserveRead(err error) {
 	w.healthy = err == nil
@@ -91,12 +103,16 @@
 	if w.healthy {
 		heard = w.lastSeniorBeat
 	}
+	if rank >= Readers+substitutes && now.Sub(w.lastFailingBeat) < beatTimeout {
+		return false
+	}
 	return now.Sub(heard) >= beatTimeout+takeoverDelay(rank)
 }
 
-// ShouldBeat reports whether this node confirms to the others that they need not read.
-func (w *Watch) ShouldBeat(now time.Time, rank Rank) bool {
-	return w.healthy && w.ShouldRead(now, rank)
+// ShouldBeat reports whether this node sends beats, and whether its reads fail. A node
+// whose reads succeed confirms to the others that they need not read.
+func (w *Watch) ShouldBeat(now time.Time, rank Rank) (beat, failing bool) {
+	return w.ShouldRead(now, rank), !w.healthy
 }
 
 func takeoverDelay(rank Rank) time.Duration {
--- a/io/zygossip/socket.go
+++ b/io/zygossip/socket.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"zinniayoke"
 	"zinniayoke/core/zymember"
 	"zinniayoke/core/zytimer"
 )
@@ -128,10 +127,10 @@
 	s.send(out)
 }
 
-// Beat sends a beat of the given reader to the addresses.
-func (s *Socket) Beat(root zinniayoke.NodeID, sequence uint64, addresses []string) {
+// Beat sends a beat to the addresses.
+func (s *Socket) Beat(cfg zymember.BeatConfig, addresses []string) {
 	s.cfg.TableLock.Lock()
-	out := s.cfg.Table.NewBeat(root, sequence, addresses)
+	out := s.cfg.Table.NewBeat(cfg, addresses)
 	s.cfg.TableLock.Unlock()
 	s.send(out)
 }
--- a/io/zynode/bundle_reader.go
+++ b/io/zynode/bundle_reader.go
@@ -58,6 +58,8 @@
 	root     zinniayoke.NodeID
 	sequence uint64
 	version  zinniayoke.Version
+	// failing is true if the reads of the reader fail.
+	failing bool
 }
 
 const (
@@ -182,18 +184,18 @@
 	}
 }
 
-// sendBeat sends a beat of this node to its children, if its reads succeed.
+// sendBeat sends a beat of this node to its children, if it reads the source.
 func (r *bundleReader) sendBeat() {
 	rank := r.rank()
 	r.mu.Lock()
-	due := r.watch.ShouldBeat(time.Now(), rank)
+	due, failing := r.watch.ShouldBeat(time.Now(), rank)
 	if due {
 		r.beatCount++
 	}
 	sequence := r.beatCount
 	r.mu.Unlock()
 	if due {
-		r.forward(beat{root: r.self, sequence: sequence})
+		r.forward(beat{root: r.self, sequence: sequence, failing: failing})
 	}
 }
 
@@ -205,7 +207,7 @@
 			addresses = append(addresses, u.PeerAddress)
 		}
 	}
-	r.gossip.Beat(b.root, b.sequence, addresses)
+	r.gossip.Beat(zymember.BeatConfig{Root: b.root, Sequence: b.sequence, Failing: b.failing}, addresses)
 }
 
 // HandlePacket notes the beat and the version of a packet from another node, and
@@ -238,7 +240,14 @@
 	}
 	r.lastBeats[p.Root] = p.Sequence
 	r.forgetAbsentReaders()
-	r.pending = &beat{root: p.Root, sequence: p.Sequence, version: p.Version}
+	b := beat{root: p.Root, sequence: p.Sequence, version: p.Version, failing: p.Failing}
+	if b.failing {
+		r.watch.ObserveFailingBeat(time.Now())
+		r.mu.Unlock()
+		r.forward(b)
+		return
+	}
+	r.pending = &b
 	r.mu.Unlock()
 	r.confirmPending()
 }
