--- a/cmd/zinniayoke-node/main.go
+++ b/cmd/zinniayoke-node/main.go
@@ -1,39 +1,29 @@
+// Command zinniayoke-node runs a node and nothing else. It does what "zinniayoke node" does
+// in less memory, since it lacks the operators' commands, the simulations and the plots.
 package main
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 
-	"go.uber.org/fx"
-
-	"zinniayoke/core/zysettings"
-	"zinniayoke/io/zynode"
-	"zinniayoke/platform"
+	"zinniayoke/io/zyprocess"
 )
 
-func load() (*zysettings.Settings, error) {
-	text, err := os.ReadFile(os.Args[1])
-	if err != nil {
-		return nil, err
+func main() {
+	if err := run(); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
 	}
-	return zysettings.Parse(os.Args[1], text)
 }
 
-func main() {
-	s, err := load()
-	if err != nil {
-		panic(err)
-	}
-	cfg := zynode.Config{Settings: s, Output: os.Stdout}
-	if s.StoreAddress != "" {
-		cfg.Adapters = platform.NewAdapters(s)
-	}
-	var n *zynode.Node
-	app := zynode.App(cfg, fx.Populate(&n))
-	_ = app.Start(context.Background())
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+func run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	<-ctx.Done()
+	if err := zyprocess.Command("zinniayoke-node").Run(ctx, os.Args); err != nil {
+		return fmt.Errorf("zinniayoke-node: %w", err)
+	}
+	return nil
 }
--- a/cmd/zinniayoke/main.go
+++ b/cmd/zinniayoke/main.go
@@ -11,6 +11,8 @@
 	"syscall"
 
 	"github.com/urfave/cli/v3"
+
+	"zinniayoke/io/zyprocess"
 )
 
 func main() {
@@ -27,7 +29,7 @@
 		Name:  "zinniayoke",
 		Usage: "overload control for service call graphs",
 		Commands: []*cli.Command{
-			nodeCommand(), bundleCommand(), keyCommand(), loadCommand(), demoCommand(), standinCommand(), experimentCommand(), explainCommand(),
+			zyprocess.Command("node"), bundleCommand(), keyCommand(), loadCommand(), demoCommand(), standinCommand(), experimentCommand(), explainCommand(),
 		},
 	}
 	if err := app.Run(ctx, os.Args); err != nil {
--- a/cmd/zinniayoke/node.go
+++ b/io/zyprocess/process.go
@@ -1,4 +1,6 @@
-package main
+// Package zyprocess runs a node as a process: it reads the settings, limits the memory,
+// reloads the settings when they change and stops the node at the end.
+package zyprocess
 
 import (
 	"bytes"
@@ -10,7 +12,6 @@
 	"syscall"
 	"time"
 
-	"github.com/urfave/cli/v3"
 	"go.uber.org/fx"
 
 	"zinniayoke/core/zysettings"
@@ -18,18 +19,6 @@
 	"zinniayoke/platform"
 )
 
-func nodeCommand() *cli.Command {
-	return &cli.Command{
-		Name:  "node",
-		Usage: "run the node of this host until SIGINT or SIGTERM",
-		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "settings", Required: true, Usage: "settings file"},
-			&cli.BoolFlag{Name: "check", Usage: "validate the settings and exit"},
-		},
-		Action: runNode,
-	}
-}
-
 const (
 	percent = 100
 	// heapPercent is the part of the memory limit that the Go heap may use. The rest
@@ -37,9 +26,11 @@
 	heapPercent = 60
 )
 
-func runNode(ctx context.Context, c *cli.Command) error {
-	settings, err := readSettings(c.String("settings"))
-	if err != nil || c.Bool("check") {
+// Run runs a node with the settings in a file until ctx is done, and then stops it
+// gracefully. It reloads the settings on SIGHUP and whenever the file changes.
+func Run(ctx context.Context, file string) error {
+	settings, err := ReadSettings(file)
+	if err != nil {
 		return err
 	}
 	cfg := zynode.Config{Settings: settings, Output: os.Stdout}
@@ -56,7 +47,7 @@
 	if err := app.Start(startCtx); err != nil {
 		return fmt.Errorf("start node: %w", err)
 	}
-	reloadOnChange(ctx, c.String("settings"), node)
+	reloadOnChange(ctx, file, node)
 	stopCtx, cancelStop := context.WithTimeout(context.Background(), app.StopTimeout())
 	defer cancelStop()
 	if err := app.Stop(stopCtx); err != nil {
@@ -94,7 +85,7 @@
 			continue
 		}
 		last, lastErr = text, err
-		settings, err := readSettings(file)
+		settings, err := ReadSettings(file)
 		if err != nil {
 			node.LogWarning("The settings file is invalid or unreadable; the previous settings stay in force.", err)
 			continue
@@ -103,7 +94,8 @@
 	}
 }
 
-func readSettings(file string) (*zysettings.Settings, error) {
+// ReadSettings reads and checks a settings file.
+func ReadSettings(file string) (*zysettings.Settings, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return nil, fmt.Errorf("read settings: %w", err)
--- a/cmd/zinniayoke/node_test.go
+++ b/io/zyprocess/process_test.go
@@ -1,4 +1,4 @@
-package main
+package zyprocess
 
 import (
 	"context"
