--- a/core/zywatch/watch.go
+++ b/core/zywatch/watch.go
@@ -35,8 +35,9 @@
 	// maxTakeoverDelay bounds that wait: the next ranks may be unreachable too.
 	maxTakeoverDelay = 500 * time.Millisecond
 	// settlingTime is how long a starting node lets the ranks settle. Nodes that start
-	// together do not know each other at first, and each would rank first.
-	settlingTime = 1 * time.Second
+	// together do not know each other at first, and each would rank first: of 97 nodes, 45
+	// instead of 16 began to read after 1 s.
+	settlingTime = 2 * time.Second
 )
 
 // Watch is the part of one node in reading the source. It is not safe for concurrent
