cmd, io, platform: the program that only runs a node is taken back; lint

The first and the next state of a worker are decided in functions of their own, as the linter asked. A heartbeat after the exit of a run that a probe had found revived it (a new case of TestAnnouncementsInAnyOrder failed).

--- a/cmd/zinniayoke/bundle.go
+++ b/cmd/zinniayoke/bundle.go
@@ -12,7 +12,6 @@
 	"zinniayoke/core/zybundle"
 	"zinniayoke/io/zylog"
 	"zinniayoke/io/zyoperator"
-	"zinniayoke/io/zyprocess"
 )
 
 func bundleCommand() *cli.Command {
@@ -94,7 +93,7 @@
 }
 
 func newOperator(c *cli.Command) (*zyoperator.Operator, error) {
-	settings, err := zyprocess.ReadSettings(c.String("settings"))
+	settings, err := readSettings(c.String("settings"))
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/zinniayoke/main.go
+++ b/cmd/zinniayoke/main.go
@@ -11,8 +11,6 @@
 	"syscall"
 
 	"github.com/urfave/cli/v3"
-
-	"zinniayoke/io/zyprocess"
 )
 
 func main() {
@@ -29,7 +27,7 @@
 		Name:  "zinniayoke",
 		Usage: "overload control for service call graphs",
 		Commands: []*cli.Command{
-			zyprocess.Command("node"), bundleCommand(), keyCommand(), loadCommand(), demoCommand(), standinCommand(), experimentCommand(), explainCommand(),
+			nodeCommand(), bundleCommand(), keyCommand(), loadCommand(), demoCommand(), standinCommand(), experimentCommand(), explainCommand(),
 		},
 	}
 	if err := app.Run(ctx, os.Args); err != nil {
--- a/io/zyprocess/process.go
+++ b/cmd/zinniayoke/node.go
@@ -1,6 +1,4 @@
-// Package zyprocess runs a node as a process: it reads the settings, limits the memory,
-// reloads the settings when they change and stops the node at the end.
-package zyprocess
+package main
 
 import (
 	"bytes"
@@ -12,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/urfave/cli/v3"
 	"go.uber.org/fx"
 
 	"zinniayoke/core/zysettings"
@@ -19,6 +18,18 @@
 	"zinniayoke/platform"
 )
 
+func nodeCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "node",
+		Usage: "run the node of this host until SIGINT or SIGTERM",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Required: true, Usage: "settings file"},
+			&cli.BoolFlag{Name: "check", Usage: "validate the settings and exit"},
+		},
+		Action: runNode,
+	}
+}
+
 const (
 	percent = 100
 	// heapPercent is the part of the memory limit that the Go heap may use. The rest
@@ -26,11 +37,9 @@
 	heapPercent = 60
 )
 
-// Run runs a node with the settings in a file until ctx is done, and then stops it
-// gracefully. It reloads the settings on SIGHUP and whenever the file changes.
-func Run(ctx context.Context, file string) error {
-	settings, err := ReadSettings(file)
-	if err != nil {
+func runNode(ctx context.Context, c *cli.Command) error {
+	settings, err := readSettings(c.String("settings"))
+	if err != nil || c.Bool("check") {
 		return err
 	}
 	cfg := zynode.Config{Settings: settings, Output: os.Stdout}
@@ -47,7 +56,7 @@
 	if err := app.Start(startCtx); err != nil {
 		return fmt.Errorf("start node: %w", err)
 	}
-	reloadOnChange(ctx, file, node)
+	reloadOnChange(ctx, c.String("settings"), node)
 	stopCtx, cancelStop := context.WithTimeout(context.Background(), app.StopTimeout())
 	defer cancelStop()
 	if err := app.Stop(stopCtx); err != nil {
@@ -85,7 +94,7 @@
 			continue
 		}
 		last, lastErr = text, err
-		settings, err := ReadSettings(file)
+		settings, err := readSettings(file)
 		if err != nil {
 			node.LogWarning("The settings file is invalid or unreadable; the previous settings stay in force.", err)
 			continue
@@ -94,8 +103,7 @@
 	}
 }
 
-// ReadSettings reads and checks a settings file.
-func ReadSettings(file string) (*zysettings.Settings, error) {
+func readSettings(file string) (*zysettings.Settings, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return nil, fmt.Errorf("read settings: %w", err)
--- a/io/zyprocess/process_test.go
+++ b/cmd/zinniayoke/node_test.go
@@ -1,4 +1,4 @@
-package zyprocess
+package main
 
 import (
 	"context"
--- a/core/zyattempt/service_retry_test.go
+++ b/core/zyattempt/service_retry_test.go
@@ -164,14 +164,15 @@
 	for pending.Len() > 0 {
 		c := heap.Pop(&pending).(simCall)
 		b, now := budgets[random.IntN(gates)], start.Add(c.at)
-		if c.sends == 0 {
+		switch {
+		case c.sends == 0:
 			b.RecordFirstSend(now, "s")
 			firsts = append(firsts, c.at)
-		} else if !b.Spend(now, "s", precedence(c)) {
+		case b.Spend(now, "s", precedence(c)):
+			retries = append(retries, c.at)
+		default:
 			finish(c, false)
 			continue
-		} else {
-			retries = append(retries, c.at)
 		}
 		c.sends++
 		switch reject := c.at >= stormStart && random.Float64() < rejected; {
--- a/core/zyingress/announcement_test.go
+++ b/core/zyingress/announcement_test.go
@@ -42,6 +42,7 @@
 		{"probed while it drains, then a late heartbeat", []zyingress.Announcement{leaving, announcement(1, 5, serving)}, draining},
 		{"probed while it seems to drain, then heartbeats", []zyingress.Announcement{leaving, announcement(1, 5, serving), announcement(1, 6, serving)}, serving},
 		{"probed while it drains, then the next run", []zyingress.Announcement{leaving, announcement(1, 5, draining), announcement(2, 1, serving)}, serving},
+		{"probed, exit, then a late heartbeat", []zyingress.Announcement{probed, exit, announcement(1, 5, serving)}, draining},
 		{"exit, then the first heartbeats that this node gets", []zyingress.Announcement{exit, announcement(1, 5, serving), announcement(1, 6, serving)}, draining},
 		{"exit, then the next run as the first that this node gets", []zyingress.Announcement{exit, announcement(2, 1, serving)}, serving},
 		{"exit, a late heartbeat, then the next run", []zyingress.Announcement{exit, announcement(1, 5, serving), announcement(2, 1, serving)}, serving},
--- a/core/zyingress/worker.go
+++ b/core/zyingress/worker.go
@@ -87,17 +87,10 @@
 		return false, &AnnouncementError{Field: "incarnation", Accepted: "one that is not older than the last"}
 	}
 	newRun := r.newRun(a)
-	if !newRun {
-		a.State = r.nextState(a)
-	}
-	// The run of an instance whose exit came first is the one that has ended.
-	r.ended = newRun && a.Instance != "" && a.Instance == r.exited
-	if r.ended {
-		a.State = zinniayoke.WorkerDraining
-	}
 	if newRun {
-		r.exited = ""
-		r.doubtful = a.Sequence == 0 && a.State == zinniayoke.WorkerDraining
+		a.State = r.firstState(a)
+	} else {
+		a.State = r.nextState(a)
 	}
 	changed := newRun || r.gone || !a.equalState(r.announcement) || now.Sub(r.announcedAt) > r.cfg.AnnouncementTTL
 	r.gone = false
@@ -135,10 +128,22 @@
 	return a.Incarnation > r.announcement.Incarnation && !discovered
 }
 
+// firstState returns the state of a run of the worker after its first announcement. The
+// run of an instance whose exit came before is the one that has ended. r.mu must be held.
+func (r *Receiver) firstState(a Announcement) zinniayoke.WorkerState {
+	r.ended = a.Instance != "" && a.Instance == r.exited
+	r.exited = ""
+	r.doubtful = a.Sequence == 0 && a.State == zinniayoke.WorkerDraining
+	if r.ended {
+		return zinniayoke.WorkerDraining
+	}
+	return a.State
+}
+
 // nextState returns the state of the worker after the announcement. A probe, which
 // has no sequence number, does not end the draining state. r.mu must be held.
 func (r *Receiver) nextState(a Announcement) zinniayoke.WorkerState {
-	if r.announcement.State == zinniayoke.WorkerDraining && a.Sequence == 0 {
+	if r.ended || r.announcement.State == zinniayoke.WorkerDraining && a.Sequence == 0 {
 		return zinniayoke.WorkerDraining
 	}
 	if r.doubtful && a.State == zinniayoke.WorkerServing {
