--- a/core/zyparent/chain.go
+++ b/core/zyparent/chain.go
@@ -26,9 +26,10 @@
 
 // StartCall adds a child call to the chain whose last call has just ended, which is
 // assigned to the given parent unless that is nil. If no call has just ended, it begins a
-// chain and assigns it to the longest running run without one. makesCalls reports whether runs of a route
-// are known to make such calls. A call's deadline is never later than that of its parent.
-// It returns nil if no run comes into question. Each call must end with Chain.End.
+// chain and assigns it to the longest running run without one. makesCalls reports whether
+// runs of a route are known to make such calls. A call's deadline is never later than that
+// of its parent. StartCall returns nil if no run comes into question. Each call must end
+// with Chain.End.
 func (t *Table) StartCall(now, deadline time.Time, parent *Parent, makesCalls func(r zinniayoke.RouteName) bool) *Chain {
 	t.mu.Lock()
 	defer t.mu.Unlock()
