--- a/core/zyegress/sender.go
+++ b/core/zyegress/sender.go
@@ -178,57 +178,6 @@
 	return &reply
 }
 
-// mayRetry reports whether another attempt is safe, useful and within the budgets.
-func (s *Sender) mayRetry(ctx context.Context, f *sendState, reply *zinniayoke.Reply) bool {
-	if ctx.Err() != nil {
-		return false
-	}
-	if reply.Outcome == zinniayoke.OutcomeUnknown && f.Route.NeverRepeat || f.exclusive {
-		return false
-	}
-	if s.cfg.WorkersLimitRetries {
-		return s.mayAskWorkersNode(f, reply)
-	}
-	if f.Budget.Remaining() < 1 {
-		return false
-	}
-	switch reply.Reason {
-	case zinniayoke.ReasonDraining, zinniayoke.ReasonNotReady:
-		return s.hasUntriedUpstream(f)
-	case zinniayoke.ReasonShed, zinniayoke.ReasonNoUpstream, zinniayoke.ReasonAnswerLost,
-		zinniayoke.ReasonFenced, zinniayoke.ReasonTableFull:
-		return s.hasUntriedUpstream(f) && s.cfg.RetryBudgets.Spend(f.callerClass())
-	default:
-		return false
-	}
-}
-
-// mayAskWorkersNode implements mayRetry if WorkersLimitRetries is set. A send that was
-// not delivered to a worker costs only a message, so a few more nodes are tried.
-func (s *Sender) mayAskWorkersNode(f *sendState, reply *zinniayoke.Reply) bool {
-	switch reply.Reason {
-	case zinniayoke.ReasonDeadline, zinniayoke.ReasonCancelled, zinniayoke.ReasonQuarantined, zinniayoke.ReasonLinkBudget,
-		zinniayoke.ReasonRetryBudget:
-		return false
-	}
-	if f.undelivered >= maxUndelivered || f.rejections >= maxRejections {
-		return false
-	}
-	return f.Budget.Remaining() >= 1 && s.hasUntriedUpstream(f) || f.mayReturnToRejecting()
-}
-
-// mayReturnToRejecting reports whether the call may go again to a worker that has
-// rejected it: no other worker may get it, and none has run it.
-func (f *sendState) mayReturnToRejecting() bool {
-	return len(f.rejectedBy) > 0 && !f.mayHaveRun
-}
-
-// hasUntriedUpstream reports whether there is an upstream that is not excluded.
-func (s *Sender) hasUntriedUpstream(f *sendState) bool {
-	_, ok := s.cfg.Picker.Pick(time.Now(), f.Call.Service, f.Call.Rank, f.excluded)
-	return ok
-}
-
 // callerClass returns the key of the retry budget of the call.
 func (f *sendState) callerClass() zyattempt.CallerClass {
 	return zyattempt.CallerClass{Caller: f.Call.Caller, Class: f.Route.Class.Name}
