core/zyattempt: added nodes are seen also while no retry is asked for

Cause: the budget uses the first sends of half a window before only if no node was added, but nodes were noted only when a retry was asked for. When nodes come back at the same time as workers begin to reject, calls could have counted at two nodes.

Change: they are noted with first sends too. It only lowers the number of retries.

--- a/core/zyattempt/service_retry.go
+++ b/core/zyattempt/service_retry.go
@@ -98,7 +98,7 @@
 type sendCounts struct {
 	bucket     int64
 	firstSends [keptBuckets]int
-	// nodes is NodeCount at the end of each bucket.
+	// nodes is NodeCount in each bucket, 0 if nothing was counted.
 	nodes   [keptBuckets]int
 	retries [bucketCount + 1]int
 
@@ -130,6 +130,9 @@
 	defer b.mu.Unlock()
 	if c := b.countsFor(now, service); c != nil {
 		c.firstSends[c.bucket%keptBuckets]++
+		if nodes := &c.nodes[c.bucket%keptBuckets]; *nodes == 0 {
+			*nodes = max(b.cfg.NodeCount(), 1)
+		}
 	}
 }
 
--- a/core/zyattempt/service_retry_test.go
+++ b/core/zyattempt/service_retry_test.go
@@ -214,3 +214,42 @@
 		}
 	}
 }
+
+// TestAddedNodesTakeTheirPartOfTheBudget adds nodes to a service, which take over half of
+// the calls of this node. The calls of 5 s ago, which they count too by now, must not count
+// here any more.
+func TestAddedNodesTakeTheirPartOfTheBudget(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		after int // nodes in the end
+		want  int
+	}{
+		{"fewer calls", 4, 34},          // 0.85 of 0.2 of the 200 first sends half a window before
+		{"calls of added nodes", 8, 25}, // and of the 150 in the window
+	} {
+		nodes := 4
+		b := zyattempt.NewServiceRetryBudgets(zyattempt.ServiceRetryConfig{
+			Ratio: 0.2, Window: 10 * time.Second, NodeCount: func() int { return nodes },
+		})
+		now := time.Now()
+		send := func(perSecond int, seconds int) {
+			for range seconds {
+				for range perSecond {
+					b.RecordFirstSend(now, "s")
+				}
+				now = now.Add(time.Second)
+			}
+		}
+		send(20, 20)
+		nodes = c.after
+		send(10, 5)
+		now = now.Add(-time.Millisecond)
+		got := 0
+		for b.Spend(now, "s", zyattempt.FirstPrecedence) {
+			got++
+		}
+		if got != c.want {
+			t.Errorf("%s: %d retries, want %d", c.name, got, c.want)
+		}
+	}
+}
