core/zynotice, core/zyingress, platform: what a worker says about itself is logged

Cause: logs and metrics could not tell whether a named rate limit is known, exceeded or forgotten. Change: the adapter reads both headers of a worker's response, zynotice keeps them for a run of the worker, the node writes a workerNotice event when they change and exports the limit and the delivery rate. Headers that cannot be read give a FormatError in that event. No decision uses them yet.

--- a/core/zyadmission/queue.go
+++ b/core/zyadmission/queue.go
@@ -81,6 +81,8 @@
 	serviceTimes map[zinniayoke.RouteName]time.Duration
 	// meanServiceTime is the average over the calls of all routes.
 	meanServiceTime time.Duration
+	// deliveries measures the calls that start.
+	deliveries rateMeter
 }
 
 // NewQueue returns a queue without running or waiting attempts.
@@ -169,6 +171,11 @@
 	return len(q.waiting)
 }
 
+// DeliveryRate returns how many calls per second have started lately.
+func (q *Queue) DeliveryRate(now time.Time) zinniayoke.Rate {
+	return q.deliveries.Rate(now)
+}
+
 // Threshold returns the lowest rank that is currently admitted.
 func (q *Queue) Threshold() zinniayoke.Rank {
 	return q.threshold.Value()
@@ -295,6 +302,7 @@
 		}
 		q.threshold.ObserveWait(now.Sub(item.arrived))
 		item.started = now
+		q.deliveries.Add(now)
 		q.running[item.ID] = item
 		res.Started = append(res.Started, item)
 	}
--- a/core/zyexplain/explanation.go
+++ b/core/zyexplain/explanation.go
@@ -36,9 +36,12 @@
 	Limit       int       `json:"limit"`
 	Running     int       `json:"running"`
 	Waiting     int       `json:"waiting"`
-	WillRetry   bool      `json:"again"`
-	Detail      string    `json:"detail"`
-	Message     string    `json:"msg"`
+	// RateLimit is nil if the worker has named no rate.
+	RateLimit    *float64 `json:"rateLimit"`
+	DeliveryRate float64  `json:"deliveryRate"`
+	WillRetry    bool     `json:"again"`
+	Detail       string   `json:"detail"`
+	Message      string   `json:"msg"`
 	// Source is the prefix that a log collector put before the line, or else the
 	// name of the log.
 	Source string `json:"-"`
@@ -193,8 +196,8 @@
 		return "Refused: " + text + "."
 	case "shed":
 		if refused != nil {
-			return fmt.Sprintf("Refused, not run: the admission queue of %s had %d of %d slots in use and %d calls waiting.",
-				instanceName(refused), refused.Running, refused.Limit, refused.Waiting)
+			return fmt.Sprintf("Refused, not run: the admission queue of %s had %d of %d slots in use and %d calls waiting%s.",
+				instanceName(refused), refused.Running, refused.Limit, refused.Waiting, describeRateLimit(refused))
 		}
 		return fmt.Sprintf("Refused at its entry node, not run: %s.", text)
 	case "deadline":
@@ -210,6 +213,15 @@
 	return fmt.Sprintf("The request ended %s because of %s: %s.", ended.Outcome, reasonOrResponse(ended.Reason), text)
 }
 
+// describeRateLimit returns the rate that the worker of the line accepts, and "" if it
+// accepts any.
+func describeRateLimit(l *Line) string {
+	if l.RateLimit == nil {
+		return ""
+	}
+	return fmt.Sprintf("; its worker accepts %.1f calls per second and got %.1f", *l.RateLimit, l.DeliveryRate)
+}
+
 // describeFailure returns the sentence for a response with a server error status.
 func describeFailure(ended, run, child *Line) string {
 	duration := time.Duration(ended.DurationUs) * time.Microsecond
--- a/core/zyingress/receiver.go
+++ b/core/zyingress/receiver.go
@@ -88,8 +88,10 @@
 	// doubtful is true while the worker was found draining by a probe and has sent no
 	// heartbeat since.
 	doubtful bool
-	queue    *zyadmission.Queue
-	excess   *zybackpressure.ExcessController
+	// current is the current run of the worker.
+	current workerRun
+	queue   *zyadmission.Queue
+	excess  *zybackpressure.ExcessController
 	// fastTick is true while the tick period is busyTickPeriod.
 	fastTick bool
 	// rejectRate is the moving average of the share of delivered calls that the
@@ -286,8 +288,10 @@
 	}
 	handle := r.cfg.Parents.Add(parent)
 	startedAt := time.Now()
+	instance, run := r.currentRun()
 	response, delivered, err := worker.Run(ctx, &zinniayoke.WorkerCall{
-		Attempt: a, Instance: r.instance(), Context: handle, Timeout: time.Until(parent.Deadline),
+		Attempt: a, Instance: instance, Context: handle, Timeout: time.Until(parent.Deadline),
+		OnNotice: func(n zinniayoke.WorkerNotice, err error) { r.observeNotice(run, startedAt, n, err) },
 	})
 	r.cfg.Parents.Remove(handle)
 	if errors.Is(err, zinniayoke.ErrMisdirected) {
@@ -317,10 +321,11 @@
 	return reply
 }
 
-func (r *Receiver) instance() zinniayoke.Instance {
+// currentRun returns the instance and the number of the current run of the worker.
+func (r *Receiver) currentRun() (zinniayoke.Instance, int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.announcement.Instance
+	return r.announcement.Instance, r.current.number
 }
 
 // hasGrant reports whether the attempt carries a grant from the owner of its key.
--- a/core/zyingress/reply.go
+++ b/core/zyingress/reply.go
@@ -26,9 +26,7 @@
 	}
 	r.mu.Lock()
 	e.Instance = r.announcement.Instance
-	if r.queue != nil {
-		e.Limit, e.Running, e.Waiting = r.queue.Limit(), r.queue.Running(), r.queue.Waiting()
-	}
+	r.addLoad(time.Now(), e)
 	if c.running {
 		e.QueueTime = c.started.Sub(c.arrived)
 	}
--- a/core/zyingress/worker.go
+++ b/core/zyingress/worker.go
@@ -168,6 +168,7 @@
 // worker. r.mu must be held.
 func (r *Receiver) resetQueue(a Announcement) {
 	old := r.queue
+	r.current = workerRun{number: r.current.number + 1}
 	r.queue = zyadmission.NewQueue(zyadmission.Config{
 		Slots: a.Slots, FixedLimit: r.cfg.FixedLimit, QueuePerSlot: r.queuePerSlot(), ByWaitDeadline: r.cfg.Graph != nil,
 	})
@@ -252,6 +253,10 @@
 	Running   int             `json:"running"`
 	Waiting   int             `json:"waiting"`
 	Threshold zinniayoke.Rank `json:"threshold"`
+	// RateLimit is the rate that the worker accepts, nil if it names none.
+	RateLimit *zinniayoke.Rate `json:"rateLimit,omitempty"`
+	// DeliveryRate is how many calls per second are delivered to the worker.
+	DeliveryRate zinniayoke.Rate `json:"deliveryRate"`
 }
 
 // Load returns the current load of the worker.
@@ -264,6 +269,7 @@
 	return Load{
 		Limit: r.queue.Limit(), Running: r.queue.Running(),
 		Waiting: r.queue.Waiting(), Threshold: r.queue.Threshold(),
+		RateLimit: r.rateLimit(), DeliveryRate: r.queue.DeliveryRate(time.Now()),
 	}
 }
 
--- a/enum_enumer.go
+++ b/enum_enumer.go
@@ -630,11 +630,11 @@
 	return err
 }
 
-const _EventKindName = "callEndedattemptEndedattemptRefusedattemptRunmember"
+const _EventKindName = "callEndedattemptEndedattemptRefusedattemptRunmemberworkerNotice"
 
-var _EventKindIndex = [...]uint8{0, 9, 21, 35, 45, 51}
+var _EventKindIndex = [...]uint8{0, 9, 21, 35, 45, 51, 63}
 
-const _EventKindLowerName = "callendedattemptendedattemptrefusedattemptrunmember"
+const _EventKindLowerName = "callendedattemptendedattemptrefusedattemptrunmemberworkernotice"
 
 func (i EventKind) String() string {
 	if i < 0 || i >= EventKind(len(_EventKindIndex)-1) {
@@ -652,9 +652,10 @@
 	_ = x[EventAttemptRefused-(2)]
 	_ = x[EventAttemptRun-(3)]
 	_ = x[EventMember-(4)]
+	_ = x[EventWorkerNotice-(5)]
 }
 
-var _EventKindValues = []EventKind{EventCallEnded, EventAttemptEnded, EventAttemptRefused, EventAttemptRun, EventMember}
+var _EventKindValues = []EventKind{EventCallEnded, EventAttemptEnded, EventAttemptRefused, EventAttemptRun, EventMember, EventWorkerNotice}
 
 var _EventKindNameToValueMap = map[string]EventKind{
 	_EventKindName[0:9]:   EventCallEnded,
@@ -662,6 +663,7 @@
 	_EventKindName[21:35]: EventAttemptRefused,
 	_EventKindName[35:45]: EventAttemptRun,
 	_EventKindName[45:51]: EventMember,
+	_EventKindName[51:63]: EventWorkerNotice,
 }
 
 var _EventKindLowerNameToValueMap = map[string]EventKind{
@@ -670,6 +672,7 @@
 	_EventKindLowerName[21:35]: EventAttemptRefused,
 	_EventKindLowerName[35:45]: EventAttemptRun,
 	_EventKindLowerName[45:51]: EventMember,
+	_EventKindLowerName[51:63]: EventWorkerNotice,
 }
 
 var _EventKindNames = []string{
@@ -678,6 +681,7 @@
 	_EventKindName[21:35],
 	_EventKindName[35:45],
 	_EventKindName[45:51],
+	_EventKindName[51:63],
 }
 
 // EventKindString retrieves an enum value from the enum constants string name.
--- a/identifier.go
+++ b/identifier.go
@@ -79,6 +79,9 @@
 // cause, across all hops.
 type Tokens int
 
+// Rate is a number of calls per second.
+type Rate float64
+
 // Bytes is a size in bytes.
 type Bytes int64
 
--- a/io/zylogger/eventlog.go
+++ b/io/zylogger/eventlog.go
@@ -140,6 +140,17 @@
 	b = appendNumber(b, "limit", int64(e.Limit))
 	b = appendNumber(b, "running", int64(e.Running))
 	b = appendNumber(b, "waiting", int64(e.Waiting))
+	if e.RateLimit != nil {
+		b = append(b, `,"rateLimit":`...)
+		b = appendRate(b, *e.RateLimit)
+	}
+	if e.DeliveryRate > 0 {
+		b = append(b, `,"deliveryRate":`...)
+		b = appendRate(b, e.DeliveryRate)
+	}
+	if e.Leaving {
+		b = append(b, `,"leaving":true`...)
+	}
 	if e.WillRetry {
 		b = append(b, `,"again":true`...)
 	}
@@ -161,6 +172,12 @@
 	return append(b, raw...)
 }
 
+// appendRate appends a rate with two decimal places.
+func appendRate(b []byte, rate zinniayoke.Rate) []byte {
+	const decimals, bits = 2, 64
+	return strconv.AppendFloat(b, float64(rate), 'f', decimals, bits)
+}
+
 func appendNumber(b []byte, name string, value int64) []byte {
 	if value == 0 {
 		return b
--- a/io/zynode/state.go
+++ b/io/zynode/state.go
@@ -1,6 +1,7 @@
 package zynode
 
 import (
+	"math"
 	"os"
 	"runtime"
 	"strconv"
@@ -107,6 +108,15 @@
 	gauge("keys_held", "Keys that ran on this host.", func() float64 { return float64(n.grants.Len()) })
 	gauge("attempts_remembered", "Attempts that can be asked about.", func() float64 { return float64(n.fence.Len()) })
 	gauge("threshold", "Lowest rank that the worker admits.", func() float64 { return float64(n.receiver.Load().Threshold) })
+	gauge("worker_delivery_rate", "Calls per second that are delivered to the worker.", func() float64 {
+		return float64(n.receiver.Load().DeliveryRate)
+	})
+	gauge("worker_rate_limit", "Calls per second that the worker accepts, +Inf if it names no limit.", func() float64 {
+		if limit := n.receiver.Load().RateLimit; limit != nil {
+			return float64(*limit)
+		}
+		return math.Inf(1)
+	})
 	gauge("control_bytes_sent", "Bytes of membership packets sent.", func() float64 {
 		return float64(n.State().Control.BytesSent)
 	})
--- a/journal.go
+++ b/journal.go
@@ -19,6 +19,9 @@
 	EventAttemptRun
 	// EventMember reports a change in the membership view of a node.
 	EventMember
+	// EventWorkerNotice reports that the worker of the node says something else about
+	// itself than before.
+	EventWorkerNotice
 )
 
 // Event is a decision about a call or a change in a node's membership view.
@@ -53,6 +56,12 @@
 	Limit   int
 	Running int
 	Waiting int
+	// RateLimit is the rate that the worker accepts, nil if it names none. DeliveryRate is
+	// how many calls per second its node has delivered, averaged over about a second.
+	RateLimit    *Rate
+	DeliveryRate Rate
+	// Leaving is true if the worker has said that it is about to end.
+	Leaving bool
 	// WillRetry is true if another attempt follows.
 	WillRetry bool
 	Detail    string
--- a/message.go
+++ b/message.go
@@ -184,4 +184,19 @@
 	// Context is the opaque handle that the worker must pass on with its child calls.
 	Context string
 	Timeout time.Duration
+	// OnNotice is called with what the response says about the worker, also if the response
+	// is a rejection, before Run returns. The error says which part of it could not be read.
+	// It is nil if nobody wants to know.
+	OnNotice func(n WorkerNotice, err error)
+}
+
+// WorkerNotice is what a worker says about itself in a response. The zero value says
+// nothing.
+type WorkerNotice struct {
+	// Limited is true if the worker limits its calls to the rate Limit, which may be 0.
+	Limited bool `codec:"l"`
+	// Limit is the rate that the worker accepts from all nodes together.
+	Limit Rate `codec:"r"`
+	// Leaving is true if the worker is about to end.
+	Leaving bool `codec:"e"`
 }
