core/zyadmission: calls start at the rate that the worker accepts

What callers saw: nothing; workers in need got more than twice the rate that they name. Cause: the admission queue limits the calls that run at once, and 29 calls/s of 0.4 s take 12 of 45 slots; no part of the system knew a limit in calls per second. Fix: while the worker names a rate, the queue of its node starts calls from a token bucket of that rate. All calls to a worker pass this one queue, so the limit is exact for all nodes together without any exchange, also for calls of nodes that have not heard of it. A call that the rate would make wait past its maximum wait is refused on arrival and goes to another worker.

--- a/core/zyadmission/queue.go
+++ b/core/zyadmission/queue.go
@@ -83,6 +83,8 @@
 	meanServiceTime time.Duration
 	// deliveries measures the calls that start.
 	deliveries rateMeter
+	// rateLimit is nil while the worker accepts calls at any rate.
+	rateLimit *rateLimit
 }
 
 // NewQueue returns a queue without running or waiting attempts.
@@ -153,6 +155,22 @@
 	q.limit.SetSlots(slots)
 }
 
+// SetRateLimit limits the calls that start to the rate that the worker accepts, and starts
+// waiting calls if the rate allows them. The limit nil accepts any rate.
+func (q *Queue) SetRateLimit(now time.Time, limit *zinniayoke.Rate) Result {
+	switch {
+	case limit == nil:
+		q.rateLimit = nil
+	case q.rateLimit == nil:
+		q.rateLimit = newRateLimit(now, *limit)
+	default:
+		q.rateLimit.Set(now, *limit)
+	}
+	var res Result
+	q.startWaiting(now, &res)
+	return res
+}
+
 // Limit returns the current concurrency limit.
 func (q *Queue) Limit() int {
 	if q.cfg.FixedLimit {
@@ -176,6 +194,12 @@
 	return q.deliveries.Rate(now)
 }
 
+// Utilization returns the share of the worker's capacity that is in use, at most 1.
+func (q *Queue) Utilization(now time.Time) float64 {
+	slots := min(float64(len(q.running))/float64(q.Limit()), 1)
+	return max(slots, q.rateLimit.Utilization(q.deliveries.Rate(now)))
+}
+
 // Threshold returns the lowest rank that is currently admitted.
 func (q *Queue) Threshold() zinniayoke.Rank {
 	return q.threshold.Value()
@@ -193,7 +217,7 @@
 		res.Refused = append(res.Refused, Refusal{Item: item, Reason: zinniayoke.ReasonDeadline})
 		return res
 	}
-	if q.exceedsMaxWait(item) {
+	if q.exceedsMaxWait(now, item) {
 		q.threshold.CountShed(now)
 		res.Refused = append(res.Refused, Refusal{Item: item, Reason: zinniayoke.ReasonShed})
 		return res
@@ -217,7 +241,8 @@
 	if !ok {
 		return res
 	}
-	q.limit.Observe(now, item.started, serviceTime, len(q.running), len(q.waiting) > 0)
+	// Calls that wait for the rate limit do not show that the worker is saturated.
+	q.limit.Observe(now, item.started, serviceTime, len(q.running), len(q.waiting) > 0 && q.rateLimit.Allows(now))
 	delete(q.running, id)
 	q.updateServiceTime(item.Route, serviceTime)
 	q.startWaiting(now, &res)
@@ -285,12 +310,12 @@
 	q.tree.ReplaceOrInsert(item)
 }
 
-// startWaiting starts waiting items in order while fewer calls run than the limit
-// allows. It refuses items that would miss their deadline.
+// startWaiting starts waiting items in order while the concurrency limit and the rate
+// limit allow it. It refuses items that would miss their deadline.
 func (q *Queue) startWaiting(now time.Time, res *Result) {
 	limit := q.Limit()
-	defer func() { q.threshold.SetUtilization(now, min(float64(len(q.running))/float64(limit), 1)) }()
-	for len(q.running) < limit {
+	defer func() { q.threshold.SetUtilization(now, q.Utilization(now)) }()
+	for len(q.running) < limit && q.rateLimit.Allows(now) {
 		item, ok := q.tree.DeleteMin()
 		if !ok {
 			return
@@ -303,16 +328,18 @@
 		q.threshold.ObserveWait(now.Sub(item.arrived))
 		item.started = now
 		q.deliveries.Add(now)
+		q.rateLimit.Take(now)
 		q.running[item.ID] = item
 		res.Started = append(res.Started, item)
 	}
 }
 
-// exceedsMaxWait reports whether the expected wait of a root call exceeds its
-// maximum wait. Such a call would be refused in the end, so it is refused on
-// arrival.
-func (q *Queue) exceedsMaxWait(item Item) bool {
-	if item.MaxWait == 0 || item.Depth > 0 || len(q.running) < q.Limit() {
+// exceedsMaxWait reports whether the expected wait of a call exceeds its maximum wait.
+// Such a call would be refused in the end, so it is refused on arrival. Service times
+// vary, so the calls of workers are refused only for a rate limit.
+func (q *Queue) exceedsMaxWait(now time.Time, item Item) bool {
+	full := len(q.running) >= q.Limit() && item.Depth == 0
+	if item.MaxWait == 0 || !full && q.rateLimit == nil {
 		return false
 	}
 	ahead := 0
@@ -320,7 +347,11 @@
 		ahead++
 		return true
 	})
-	return time.Duration(ahead+1)*q.meanServiceTime/time.Duration(q.Limit()) > item.MaxWait
+	wait := q.rateLimit.Wait(now, ahead+1)
+	if full {
+		wait = max(wait, time.Duration(ahead+1)*q.meanServiceTime/time.Duration(q.Limit()))
+	}
+	return wait > item.MaxWait
 }
 
 func (q *Queue) maxLength() int {
--- a/core/zyingress/notice.go
+++ b/core/zyingress/notice.go
@@ -35,6 +35,9 @@
 	}
 	changed := r.current.notices.Observe(now, sentAt, n) || text != r.current.problem
 	r.current.problem = text
+	if changed {
+		r.applyResult(now, r.queue.SetRateLimit(now, r.rateLimit()))
+	}
 	var event *zinniayoke.Event
 	if changed {
 		event = r.noticeEvent(now)
