core/zyingress, core/zyadmission: a worker at its rate limit reports that it is full

Cause: the load in replies and the excess share count concurrency slots, of which a limited worker uses few. Senders went on choosing it, and entry nodes did not shed what no worker could take. Change: the load follows the share of the rate in use and the wait; attempts say whether the sender has another choice, and a limited worker counts as excess only calls without one, because the other workers of the service may have room. Test: TestRateLimitIsNotSeenByTheSenders failed before: refusals reported a load of 5%, the excess share was 0 while two thirds of the calls could go nowhere.

--- a/core/zyadmission/queue.go
+++ b/core/zyadmission/queue.go
@@ -200,6 +200,16 @@
 	return max(slots, q.rateLimit.Utilization(q.deliveries.Rate(now)))
 }
 
+// Load returns the share of the worker's capacity that is in use, and more than 1 the
+// longer calls have to wait.
+func (q *Queue) Load(now time.Time) float64 {
+	slots := float64(len(q.running)+len(q.waiting)) / float64(q.Limit())
+	if q.rateLimit == nil || len(q.waiting) == 0 {
+		return max(slots, q.Utilization(now))
+	}
+	return max(slots, 1+float64(q.rateLimit.Wait(now, len(q.waiting)))/float64(waitPerLoad))
+}
+
 // Threshold returns the lowest rank that is currently admitted.
 func (q *Queue) Threshold() zinniayoke.Rank {
 	return q.threshold.Value()
--- a/core/zyadmission/rate.go
+++ b/core/zyadmission/rate.go
@@ -20,6 +20,8 @@
 	minLimitedRate zinniayoke.Rate = 0.5
 	// maxBurst keeps the burst of very high rates within an int.
 	maxBurst = 1 << 20
+	// Calls that have to wait waitPerLoad for a rate limit add 1 to the load of the worker.
+	waitPerLoad = 200 * time.Millisecond
 )
 
 // rateMeter measures how many calls per second start, as an exponential average. The zero
--- a/core/zyegress/retry.go
+++ b/core/zyegress/retry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"zinniayoke"
@@ -52,6 +53,14 @@
 	return len(f.rejectedBy) > 0 && !f.mayHaveRun
 }
 
+// hasOtherUpstream reports whether there is an upstream that is not excluded beside the one
+// chosen for the latest attempt.
+func (s *Sender) hasOtherUpstream(f *sendState) bool {
+	tried := append(slices.Clone(f.excluded), f.to.Node)
+	_, ok := s.cfg.Picker.Pick(time.Now(), f.Call.Service, f.Call.Rank, tried)
+	return ok
+}
+
 // hasUntriedUpstream reports whether there is an upstream that is not excluded.
 func (s *Sender) hasUntriedUpstream(f *sendState) bool {
 	_, ok := s.cfg.Picker.Pick(time.Now(), f.Call.Service, f.Call.Rank, f.excluded)
--- a/core/zyegress/sender.go
+++ b/core/zyegress/sender.go
@@ -271,6 +271,7 @@
 		BodyHash: c.BodyHash, Key: c.Key, Grant: f.Grant, Rank: c.Rank, Timeout: time.Until(c.Deadline),
 		Tokens: share, Depth: c.Depth, Version: c.Version, MaxWait: c.MaxWait,
 		RefusedElsewhere: f.undelivered > 0, Resent: f.delivered, InRepeatedRun: c.InRepeatedRun, EarlierCalls: c.EarlierCalls,
+		LastChoice: f.undelivered+1 >= maxUndelivered || !s.hasOtherUpstream(f),
 	}
 }
 
--- a/core/zyingress/notice_test.go
+++ b/core/zyingress/notice_test.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"math"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"zinniayoke"
+	"zinniayoke/core/zygraph"
+	"zinniayoke/core/zyingress"
 )
 
 // say changes what the worker says in its responses.
@@ -81,3 +85,54 @@
 		})
 	}
 }
+
+// TestRateLimitIsNotSeenByTheSenders offers a worker more than its rate limit, with most of
+// its slots free. Its replies must report that it is full, so that senders choose others. Its
+// service has more demand than capacity only if the calls can go to no other worker.
+func TestRateLimitIsNotSeenByTheSenders(t *testing.T) {
+	const limit, offered = 10, 30
+	for _, c := range []struct {
+		lastChoice         bool
+		minShare, maxShare float64
+	}{
+		{false, 0, 0.05},
+		{true, 1 - 1.2*limit/offered, 0.98},
+	} {
+		t.Run(fmt.Sprint(c.lastChoice), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(45, func(cfg *zyingress.Config) {
+					cfg.Graph, cfg.Callers = zygraph.New(), zygraph.NewCallerClassifier(func() int { return 1 })
+				})
+				defer h.stop()
+				h.worker.say(zinniayoke.WorkerNotice{Limited: true, Limit: limit})
+				var share float64
+				lowest := math.MaxInt // Of the loads that refusals report.
+				var mu sync.Mutex
+				for range 10 * offered {
+					a := h.attempt("x")
+					a.LastChoice, a.MaxWait = c.lastChoice, 200*time.Millisecond
+					go func() {
+						r := h.Run(context.Background(), a)
+						mu.Lock()
+						defer mu.Unlock()
+						if r.Reason == zinniayoke.ReasonShed {
+							lowest = min(lowest, r.Load)
+						}
+						if len(r.Costs) > 0 {
+							share = r.Costs[0].ExcessShare
+						}
+					}()
+					time.Sleep(time.Second / offered)
+					h.announce(zinniayoke.WorkerServing, 45)
+				}
+				time.Sleep(time.Second)
+				if lowest < 100 {
+					t.Errorf("a refusal reports a load of %d%%, want at least 100%%", lowest)
+				}
+				if share < c.minShare || share > c.maxShare {
+					t.Errorf("the excess share is %.2f, want %.2f to %.2f", share, c.minShare, c.maxShare)
+				}
+			})
+		})
+	}
+}
--- a/core/zyingress/receiver.go
+++ b/core/zyingress/receiver.go
@@ -202,7 +202,7 @@
 		return nil, err
 	}
 	r.calls[c.attempt.ID] = c
-	if !c.attempt.RefusedElsewhere && !c.attempt.Resent {
+	if r.rateLimit() == nil && !c.attempt.RefusedElsewhere && !c.attempt.Resent {
 		r.excess.CountArrival(now)
 	}
 	item := zyadmission.Item{
@@ -360,12 +360,19 @@
 
 // applyResult passes the decisions of the admission queue to the waiting calls.
 // r.mu must be held.
+//
+// The other workers of a service may have room for what exceeds the rate limit of this one.
+// So with a limit, the demand that counts as excess is what no other worker could take.
 func (r *Receiver) applyResult(now time.Time, res zyadmission.Result) {
+	limited := r.rateLimit() != nil
 	for _, item := range res.Started {
 		if c, ok := r.calls[item.ID]; ok {
 			c.running = true
 			c.started = now
 			r.excess.CountDelivery(now)
+			if limited {
+				r.excess.CountArrival(now)
+			}
 			c.admission <- zinniayoke.ReasonNone
 		}
 	}
@@ -373,12 +380,29 @@
 		if c, ok := r.calls[refusal.Item.ID]; ok {
 			c.admission <- refusal.Reason
 			r.removeCall(c)
+			if limited && c.attempt.LastChoice {
+				r.excess.CountArrival(now)
+			}
 		}
 	}
-	r.excess.SetUtilization(now, float64(r.queue.Running())/float64(r.queue.Limit()))
+	r.excess.SetUtilization(now, r.utilization(now))
 	r.updateTickPeriod()
 }
 
+// limitedUtilization is the utilization of a worker whose rate limit is used up. It is below
+// the target of the ExcessController, so that only calls that no other worker could take
+// count as excess.
+const limitedUtilization = 0.93
+
+// utilization returns the share of the worker's capacity that is in use. r.mu must be held.
+func (r *Receiver) utilization(now time.Time) float64 {
+	slots := float64(r.queue.Running()) / float64(r.queue.Limit())
+	if r.rateLimit() == nil {
+		return slots
+	}
+	return max(slots, limitedUtilization*r.queue.Utilization(now))
+}
+
 // updateTickPeriod uses the short tick period only while calls wait. r.mu must be
 // held.
 func (r *Receiver) updateTickPeriod() {
--- a/core/zyingress/receiver_test.go
+++ b/core/zyingress/receiver_test.go
@@ -103,24 +103,28 @@
 	nextID       int
 }
 
-func newHarness(slots int) *harness {
-	h := newHarnessWithoutWorker()
+func newHarness(slots int, options ...func(*zyingress.Config)) *harness {
+	h := newHarnessWithoutWorker(options...)
 	h.restartWorker(slots)
 	return h
 }
 
 // newHarnessWithoutWorker returns a harness whose worker has not announced itself yet.
-func newHarnessWithoutWorker() *harness {
+func newHarnessWithoutWorker(options ...func(*zyingress.Config)) *harness {
 	h := &harness{
 		quarantine: zyquarantine.New(zyquarantine.Config{MaxRecords: 100}), timer: zytimer.New(),
 		grants: zyidempotency.NewGrantTable(zyidempotency.GrantTableConfig{Node: "n", MaxKeys: 100, Window: time.Minute}),
 	}
 	bundle := &zybundle.Bundle{QuarantineFor: time.Minute}
-	h.Receiver = zyingress.New(zyingress.Config{
+	cfg := zyingress.Config{
 		Node: "n", Bundle: func() *zybundle.Bundle { return bundle }, Grants: h.grants, Quarantine: h.quarantine,
 		Fence: zyfence.New(zyfence.Config{MaxAttempts: 100_000, MaxResponseBytes: 1000, Retention: time.Minute}), Parents: &zyparent.Table{},
 		Timer: h.timer, Meter: nopMeter{}, OnCrash: func(c []zyquarantine.CrashRecord) { h.crashRecords = append(h.crashRecords, c...) },
-	})
+	}
+	for _, option := range options {
+		option(&cfg)
+	}
+	h.Receiver = zyingress.New(cfg)
 	h.worker = &fakeWorker{}
 	return h
 }
--- a/core/zyingress/reply.go
+++ b/core/zyingress/reply.go
@@ -100,7 +100,7 @@
 		} else {
 			reply.Threshold = r.queue.Threshold()
 		}
-		reply.Load = (r.queue.Running()+r.queue.Waiting())*percent/r.queue.Limit() + int(rejectLoadFactor*percent*r.rejectRate)
+		reply.Load = int(percent * (r.queue.Load(time.Now()) + rejectLoadFactor*r.rejectRate))
 	}
 	return reply
 }
--- a/message.go
+++ b/message.go
@@ -79,6 +79,8 @@
 	// EarlierCalls is how many calls the run that makes this one has made before, as far
 	// as known.
 	EarlierCalls int `codec:"ec"`
+	// LastChoice is true if the sender asks no other node should this one refuse.
+	LastChoice bool `codec:"lc"`
 }
 
 // Grant is the permission to run an idempotency key once, issued by the owner of
