core/zyadmission: a route is served again after its node stood still

Cause: a call that would miss its deadline by the average service time of its route is refused. The node was frozen for 3 s with calls running, so the average rose above twice the deadline that any call of the route has. From then on all were refused, and only calls that run correct it. Change: a service time counts up to the call's deadline, and the average of a route expires 2 s after its last call.

--- a/core/zyadmission/queue.go
+++ b/core/zyadmission/queue.go
@@ -65,8 +65,17 @@
 	btreeDegree         = 16
 	hashBits            = 16
 	serviceTimeWeight   = 0.1
+	// serviceTimeTTL is how long the service time of a route is valid. Calls are refused by
+	// it, and only calls that run correct it.
+	serviceTimeTTL = 2 * time.Second
 )
 
+// routeTime is the average service time of a route, as of its last call.
+type routeTime struct {
+	mean       time.Duration
+	observedAt time.Time
+}
+
 // Queue is the admission queue of one worker. It starts, queues or refuses each
 // attempt. It is not safe for concurrent use. A Queue must be created with
 // NewQueue.
@@ -78,7 +87,7 @@
 	waiting      map[zinniayoke.AttemptID]Item
 	tree         *btree.BTreeG[Item]
 	sequence     uint64
-	serviceTimes map[zinniayoke.RouteName]time.Duration
+	serviceTimes map[zinniayoke.RouteName]routeTime
 	// meanServiceTime is the average over the calls of all routes.
 	meanServiceTime time.Duration
 	// deliveries measures the calls that start.
@@ -100,7 +109,7 @@
 		running:      make(map[zinniayoke.AttemptID]Item),
 		waiting:      make(map[zinniayoke.AttemptID]Item),
 		tree:         btree.NewG(btreeDegree, order),
-		serviceTimes: make(map[zinniayoke.RouteName]time.Duration),
+		serviceTimes: make(map[zinniayoke.RouteName]routeTime),
 	}
 }
 
@@ -254,7 +263,8 @@
 	// Calls that wait for the rate limit do not show that the worker is saturated.
 	q.limit.Observe(now, item.started, serviceTime, len(q.running), len(q.waiting) > 0 && q.rateLimit.Allows(now))
 	delete(q.running, id)
-	q.updateServiceTime(item.Route, serviceTime)
+	// What goes beyond the deadline is a standstill of this node, not the service time.
+	q.updateServiceTime(now, item.Route, min(serviceTime, item.Deadline.Sub(item.started)))
 	q.startWaiting(now, &res)
 	return res
 }
@@ -371,17 +381,20 @@
 // missesDeadline reports whether less than half the average service time of the
 // route is left before the deadline of the item.
 func (q *Queue) missesDeadline(now time.Time, item Item) bool {
-	return now.Add(q.serviceTimes[item.Route] / 2).After(item.Deadline)
+	expected := q.serviceTimes[item.Route]
+	if now.Sub(expected.observedAt) > serviceTimeTTL {
+		return now.After(item.Deadline)
+	}
+	return now.Add(expected.mean / 2).After(item.Deadline)
 }
 
 // updateServiceTime updates the moving averages of the service time at this
 // worker, of all calls and of the route.
-func (q *Queue) updateServiceTime(route zinniayoke.RouteName, serviceTime time.Duration) {
+func (q *Queue) updateServiceTime(now time.Time, route zinniayoke.RouteName, serviceTime time.Duration) {
 	q.meanServiceTime += time.Duration(serviceTimeWeight * float64(serviceTime-q.meanServiceTime))
-	old, ok := q.serviceTimes[route]
-	if !ok {
-		q.serviceTimes[route] = serviceTime
-		return
+	mean := serviceTime
+	if old := q.serviceTimes[route]; now.Sub(old.observedAt) <= serviceTimeTTL {
+		mean = old.mean + time.Duration(serviceTimeWeight*float64(serviceTime-old.mean))
 	}
-	q.serviceTimes[route] = old + time.Duration(serviceTimeWeight*float64(serviceTime-old))
+	q.serviceTimes[route] = routeTime{mean: mean, observedAt: now}
 }
