core/zyingress: a worker that says in a response that it leaves gets no more calls

What callers would see: bookings handed to a worker that is about to end, and lost with it, where its announcement is late or lost. Cause: only announcements and health checks ended the calls to a worker; its responses, which arrive first, were not looked at. Fix: the first response that says so ends the run of the worker at its node as an announcement does, for good, whatever late heartbeats say; the other nodes hear of it at once. All calls pass this node, so every node that passed the response on is covered.

--- a/core/zyingress/notice.go
+++ b/core/zyingress/notice.go
@@ -38,6 +38,10 @@
 	if changed {
 		r.applyResult(now, r.queue.SetRateLimit(now, r.rateLimit()))
 	}
+	leaves := r.current.notices.Notice().Leaving && !r.ended
+	if leaves {
+		r.endRun()
+	}
 	var event *zinniayoke.Event
 	if changed {
 		event = r.noticeEvent(now)
@@ -46,6 +50,9 @@
 	if changed {
 		r.cfg.Recorder.Record(event)
 	}
+	if leaves && r.cfg.OnLeaving != nil {
+		r.cfg.OnLeaving()
+	}
 }
 
 // noticeEvent returns the event that reports what the worker says. r.mu must be held.
--- a/core/zyingress/receiver.go
+++ b/core/zyingress/receiver.go
@@ -35,6 +35,9 @@
 	// OnCrash is called with the requests that were in flight when the worker
 	// crashed.
 	OnCrash func(records []zyquarantine.CrashRecord)
+	// OnLeaving is called when a response says that the worker is about to end; it may be
+	// nil.
+	OnLeaving func()
 	// Graph learns the call graph, and Callers learns which services call the routes
 	// of the worker. With a Graph, replies carry service costs instead of thresholds;
 	// set both or neither.
@@ -80,7 +83,8 @@
 	gone bool
 	// draining is true once the node is stopping.
 	draining bool
-	// ended is true once this run of the worker has announced that it ends.
+	// ended is true once this run of the worker has announced, or said in a response, that it
+	// ends.
 	ended bool
 	// exited is an instance that has announced that it ends before this node knew its run,
 	// such as while the node restarted.
--- a/core/zyingress/worker.go
+++ b/core/zyingress/worker.go
@@ -197,10 +197,16 @@
 	if r.ended {
 		return false
 	}
+	r.endRun()
+	return true
+}
+
+// endRun records that the current run of the worker is about to end, which it does not
+// take back: it gets no more calls. r.mu must be held.
+func (r *Receiver) endRun() {
 	r.ended = true
 	r.announcement.State = zinniayoke.WorkerDraining
 	r.refuseWaiting(zinniayoke.ReasonDraining)
-	return true
 }
 
 // queuePerSlot returns the queue length per slot; 0 means the default. The queue
--- a/io/zynode/request_path.go
+++ b/io/zynode/request_path.go
@@ -97,7 +97,7 @@
 	n.retryBudgets = n.newRetryBudgets()
 	n.receiver = zyingress.New(zyingress.Config{
 		Node: n.id, Bundle: n.bundle.Current, Fence: n.fence, Grants: n.grants, Quarantine: n.quarantine,
-		Parents: parents, Timer: n.timer, Meter: n.meter, OnCrash: n.broadcastCrashRecords,
+		Parents: parents, Timer: n.timer, Meter: n.meter, OnCrash: n.broadcastCrashRecords, OnLeaving: n.updateSelf,
 		AnnouncementTTL: n.cfg.Settings.Worker.Heartbeat * maxMissedHeartbeats, FixedLimit: n.hasBundleSource(),
 		Recorder: n.recorder, Graph: graph, Callers: callers, RetryBudgets: n.retryBudgets,
 	})
