core/zynotice, core/zyegress: a node hears again what its worker said

What callers would see: the worker of a node that has just started gets a burst over its limit, or calls although it leaves, until its first response; slow workers respond late. Cause: what a worker says is known only to the process beside it, which forgets it at a restart, while the nodes that passed its responses on are bound by them. Change: replies carry what the worker says; senders keep it by host and tell it with each attempt to that host, and the node adopts it if it is about the run of the worker that it has, until that run responds. A node that does not know the run yet refuses the attempt of a sender that has heard of a leave. The health check at the start of a node reads the headers too.

--- a/core/zyegress/sender.go
+++ b/core/zyegress/sender.go
@@ -17,6 +17,8 @@
 	"zinniayoke/core/zyattempt"
 	"zinniayoke/core/zybalancer"
 	"zinniayoke/core/zybundle"
+	"zinniayoke/core/zymember"
+	"zinniayoke/core/zynotice"
 	"zinniayoke/core/zyquarantine"
 	"zinniayoke/core/zyresponse"
 	"zinniayoke/core/zythreshold"
@@ -42,6 +44,8 @@
 	WorkersLimitRetries bool
 	// OnReply is called with each valid reply to a call of the route; it may be nil.
 	OnReply func(now time.Time, route zinniayoke.RouteName, r *zinniayoke.Reply)
+	// Notices keeps what the workers say about themselves; nil keeps nothing.
+	Notices *zynotice.Memory
 	// Recorder records the end of each attempt; nil discards the events.
 	Recorder zinniayoke.EventRecorder
 	// NewID returns a new attempt id; nil means a random prefix and a counter.
@@ -207,7 +211,9 @@
 		return refusedReply(f.Call, zinniayoke.NewRefusedError(zinniayoke.ReasonStaleEpoch, "the key is kept elsewhere now"))
 	}
 	f.excluded = append(f.excluded, to.Node)
+	sentAt := time.Now()
 	reply := s.exchange(ctx, to, a)
+	s.cfg.Notices.Record(time.Now(), sentAt, zymember.HostOf(to.Node), reply)
 	f.Budget.Refund(min(reply.Unused, share))
 	if s.cfg.WorkersLimitRetries && !returns && !reply.Delivered && reply.Outcome == zinniayoke.OutcomeNotRun {
 		f.Budget.Refund(1)
@@ -272,6 +278,7 @@
 		Tokens: share, Depth: c.Depth, Version: c.Version, MaxWait: c.MaxWait,
 		RefusedElsewhere: f.undelivered > 0, Resent: f.delivered, InRepeatedRun: c.InRepeatedRun, EarlierCalls: c.EarlierCalls,
 		LastChoice: f.undelivered+1 >= maxUndelivered || !s.hasOtherUpstream(f),
+		Heard:      s.cfg.Notices.Of(zymember.HostOf(f.to.Node)),
 	}
 }
 
--- a/core/zyegress/sender_test.go
+++ b/core/zyegress/sender_test.go
@@ -13,6 +13,7 @@
 	"zinniayoke/core/zybalancer"
 	"zinniayoke/core/zybundle"
 	"zinniayoke/core/zyegress"
+	"zinniayoke/core/zynotice"
 	"zinniayoke/core/zyquarantine"
 	"zinniayoke/core/zythreshold"
 )
@@ -40,13 +41,15 @@
 	replies  []reply
 	sentTo   []zinniayoke.NodeID
 	attempts []*zinniayoke.Attempt
+	// heard is what the replies say of the worker.
+	heard *zinniayoke.HeardNotice
 }
 
 func (p *fakePeers) Run(_ context.Context, to zinniayoke.Upstream, a *zinniayoke.Attempt) (*zinniayoke.Reply, error) {
 	kind := p.replies[min(len(p.sentTo), len(p.replies)-1)]
 	p.sentTo = append(p.sentTo, to.Node)
 	p.attempts = append(p.attempts, a)
-	r := &zinniayoke.Reply{Attempt: a.ID, Request: a.Request, Unused: a.Tokens}
+	r := &zinniayoke.Reply{Attempt: a.ID, Request: a.Request, Unused: a.Tokens, Heard: p.heard}
 	switch kind {
 	case done:
 		r.Outcome, r.Delivered = zinniayoke.OutcomeDone, true
@@ -146,6 +149,39 @@
 	}
 }
 
+// TestNodeHearsAgainWhatItsWorkerSaid has a node start again after its reply said that its
+// worker leaves. The next attempt must tell it.
+func TestNodeHearsAgainWhatItsWorkerSaid(t *testing.T) {
+	heard := &zinniayoke.HeardNotice{Incarnation: 1, Notice: zinniayoke.WorkerNotice{Leaving: true}}
+	peers := &fakePeers{replies: []reply{refused}, heard: heard}
+	r := &restartedNode{run: 1}
+	s := zyegress.New(zyegress.Config{
+		Peers: peers, Resolver: r, Thresholds: zythreshold.New(), RetryBudgets: zyattempt.NewCallerRetryBudgets(),
+		Quarantine: zyquarantine.New(zyquarantine.Config{MaxRecords: 10}), Meter: nopMeter{}, WorkersLimitRetries: true,
+		Bundle: func() *zybundle.Bundle { return &zybundle.Bundle{} }, Notices: zynotice.NewMemory(),
+		Picker: zybalancer.New(zybalancer.Config{Resolver: r, Random: rand.New(rand.NewPCG(1, 1))}),
+	})
+	for ; r.run <= 2; r.run++ {
+		s.Send(context.Background(), zyegress.SendParams{
+			Call:   &zinniayoke.Call{Request: "r", Service: "s", Deadline: time.Now().Add(time.Minute)},
+			Route:  &zybundle.Route{Attempts: 1},
+			Budget: zyattempt.NewBudget(1, 1),
+		})
+	}
+	if first, second := peers.attempts[0].Heard, peers.attempts[1].Heard; first != nil || second != heard {
+		t.Errorf("the attempts carry %+v and %+v, want nil and what the worker said", first, second)
+	}
+}
+
+// restartedNode resolves to one node, in the run of that number.
+type restartedNode struct {
+	run int
+}
+
+func (n *restartedNode) Upstreams(s zinniayoke.Service) []zinniayoke.Upstream {
+	return []zinniayoke.Upstream{{Node: zinniayoke.NodeID(fmt.Sprint("host/", n.run)), Service: s, State: zinniayoke.WorkerServing, Slots: 10}}
+}
+
 // TestLostReplyIsNoRefusal checks that a call whose reply was lost is not announced to the
 // next node as one that others have refused: it is no demand that others could not meet.
 func TestLostReplyIsNoRefusal(t *testing.T) {
--- a/core/zyingress/notice_test.go
+++ b/core/zyingress/notice_test.go
@@ -136,3 +136,45 @@
 		})
 	}
 }
+
+// TestRestartedNodeForgetsWhatItsWorkerSaid sends calls of nodes that have heard of a
+// worker's limit or leave to a node that has not, since it has just started, and whose worker
+// takes longer to respond than the test lasts.
+func TestRestartedNodeForgetsWhatItsWorkerSaid(t *testing.T) {
+	leaving := zinniayoke.WorkerNotice{Leaving: true}
+	limited := zinniayoke.WorkerNotice{Limited: true, Limit: 5}
+	for _, c := range []struct {
+		name  string
+		heard zinniayoke.HeardNotice
+		known zinniayoke.Incarnation
+		// most is how many of 100 calls within 4 s the worker may get.
+		most, least int
+	}{
+		{"limit", zinniayoke.HeardNotice{Incarnation: 1, Notice: limited}, 1, 35, 18},
+		{"limit of an earlier run", zinniayoke.HeardNotice{Incarnation: 1, Notice: limited}, 2, 100, 100},
+		{"leave", zinniayoke.HeardNotice{Incarnation: 1, Notice: leaving}, 1, 0, 0},
+		{"leave of an earlier run", zinniayoke.HeardNotice{Incarnation: 1, Notice: leaving}, 2, 100, 100},
+		{"leave while the run is unknown", zinniayoke.HeardNotice{Incarnation: 1, Notice: leaving}, 0, 0, 0},
+		{"leave of another instance", zinniayoke.HeardNotice{Instance: "i", Incarnation: 1, Notice: leaving}, 1, 100, 100},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarnessWithoutWorker()
+				defer h.stop()
+				h.incarnation = c.known
+				h.worker = &fakeWorker{serviceTime: time.Hour}
+				for range 100 {
+					h.announce(zinniayoke.WorkerServing, 200)
+					a := h.attempt("x")
+					a.Heard, a.Timeout = &c.heard, time.Minute
+					go h.Run(context.Background(), a)
+					time.Sleep(40 * time.Millisecond)
+				}
+				if h.worker.runs > c.most || h.worker.runs < c.least {
+					t.Errorf("the worker got %d calls, want %d to %d", h.worker.runs, c.least, c.most)
+				}
+				time.Sleep(time.Minute) // Until the calls have ended.
+			})
+		})
+	}
+}
--- a/core/zyingress/receiver.go
+++ b/core/zyingress/receiver.go
@@ -174,6 +174,9 @@
 // reserves the worker.
 func (r *Receiver) admit(ctx context.Context, c *activeCall) (zinniayoke.Worker, error) {
 	now := time.Now()
+	if err := r.adoptNotice(now, c.attempt.Heard); err != nil {
+		return nil, err
+	}
 	decision := r.decideQuarantine(now, c.fingerprint)
 	if decision == zyquarantine.RunExclusive {
 		if err := r.reserveWorker(ctx, c); err != nil {
--- a/core/zyingress/reply.go
+++ b/core/zyingress/reply.go
@@ -94,6 +94,7 @@
 	reply := &zinniayoke.Reply{Attempt: a.ID, Request: a.Request}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	reply.Heard = r.heardNotice()
 	if r.queue != nil {
 		if r.cfg.Graph != nil {
 			reply.Costs = r.cfg.Graph.CostsIfDue(time.Now(), a.Service, a.Route, r.excess.ExcessShare())
--- a/core/zyingress/worker.go
+++ b/core/zyingress/worker.go
@@ -23,12 +23,15 @@
 	Sequence uint64 `json:"sequence,omitempty"`
 	// WarmupRemaining is how much longer the worker will be slow after its start.
 	WarmupRemaining time.Duration `json:"cold,omitempty"`
+	// Notice is what the worker said in the response to a health check. Announcements of the
+	// worker itself carry none.
+	Notice zinniayoke.WorkerNotice `json:"-"`
 }
 
 // equalState reports whether a and b are equal except for the fields that change
 // with each announcement.
 func (a Announcement) equalState(b Announcement) bool {
-	a.Sequence, a.WarmupRemaining = b.Sequence, b.WarmupRemaining
+	a.Sequence, a.WarmupRemaining, a.Notice = b.Sequence, b.WarmupRemaining, b.Notice
 	return a == b
 }
 
@@ -105,6 +108,10 @@
 	if a.State == zinniayoke.WorkerDraining {
 		r.refuseWaiting(zinniayoke.ReasonDraining)
 	}
+	if r.current.notices.Adopt(now, a.Notice) {
+		changed = true
+		r.cfg.Recorder.Record(r.applyNotice(now).event)
+	}
 	return changed, nil
 }
 
--- a/core/zynotice/tracker.go
+++ b/core/zynotice/tracker.go
@@ -42,3 +42,14 @@
 	}
 	return t.notice != before
 }
+
+// Adopt takes in what another node or a health check says of the run, and reports whether
+// that is news. A limit counts only until the run has responded to a call of this node.
+func (t *Tracker) Adopt(now time.Time, n zinniayoke.WorkerNotice) bool {
+	before := t.notice
+	t.notice.Leaving = t.notice.Leaving || n.Leaving
+	if !t.heard && n.Limited && !t.notice.Limited {
+		t.notice.Limited, t.notice.Limit, t.limitedAt = true, n.Limit, now
+	}
+	return t.notice != before
+}
--- a/core/zynotice/tracker_test.go
+++ b/core/zynotice/tracker_test.go
@@ -47,6 +47,47 @@
 	}
 }
 
+// TestAdoptedLimit checks that what others say of a limit counts until the run has responded.
+func TestAdoptedLimit(t *testing.T) {
+	var tracker zynotice.Tracker
+	at := func(s int) time.Time { return time.Unix(int64(s), 0) }
+	limited := zinniayoke.WorkerNotice{Limited: true, Limit: 5}
+	if !tracker.Adopt(at(1), limited) || tracker.Notice() != limited {
+		t.Errorf("a limit that another node has heard of is not adopted: %+v", tracker.Notice())
+	}
+	tracker.Observe(at(3), at(2), zinniayoke.WorkerNotice{})
+	if tracker.Adopt(at(4), limited) || tracker.Notice().Limited {
+		t.Error("a limit was adopted although the worker has responded without one")
+	}
+}
+
+// TestNoticeInMemory checks what a node remembers of a worker after its replies, each read
+// in its second.
+func TestNoticeInMemory(t *testing.T) {
+	heard := &zinniayoke.HeardNotice{Incarnation: 1, Notice: zinniayoke.WorkerNotice{Leaving: true}}
+	done := zinniayoke.Reply{Outcome: zinniayoke.OutcomeDone}
+	notice := zinniayoke.Reply{Outcome: zinniayoke.OutcomeDone, Heard: heard}
+	for _, c := range []struct {
+		name   string
+		sent   []int
+		reply  []zinniayoke.Reply
+		forget bool
+	}{
+		{"heard", []int{0}, []zinniayoke.Reply{notice}, false},
+		{"then a refusal", []int{0, 2}, []zinniayoke.Reply{notice, {Outcome: zinniayoke.OutcomeNotRun}}, false},
+		{"then an earlier response", []int{0, 0}, []zinniayoke.Reply{notice, done}, false},
+		{"then a later response", []int{0, 2}, []zinniayoke.Reply{notice, done}, true},
+	} {
+		m := zynotice.NewMemory()
+		for i, r := range c.reply {
+			m.Record(time.Unix(int64(i+1), 0), time.Unix(int64(c.sent[i]), 0), "host", &r)
+		}
+		if got := m.Of("host"); (got == nil) != c.forget {
+			t.Errorf("%s: remembered is %+v, forgotten: want %t", c.name, got, c.forget)
+		}
+	}
+}
+
 func TestParseRate(t *testing.T) {
 	for text, want := range map[string]zinniayoke.Rate{"13.2": 13.2, "0": 0, "9": 9, ".5": 0.5} {
 		if got, err := zynotice.ParseRate(text); err != nil || got != want {
--- a/io/zynode/request_path.go
+++ b/io/zynode/request_path.go
@@ -21,6 +21,7 @@
 	"zinniayoke/core/zyingress"
 	"zinniayoke/core/zykeyowner"
 	"zinniayoke/core/zymember"
+	"zinniayoke/core/zynotice"
 	"zinniayoke/core/zyparent"
 	"zinniayoke/core/zyquarantine"
 	"zinniayoke/core/zyrank"
@@ -104,7 +105,7 @@
 	sender := zyegress.New(zyegress.Config{
 		Peers: &loopbackClient{self: n.id, receiver: n.receiver, remote: n.client}, Picker: n.picker, Resolver: n.view, Thresholds: thresholds,
 		RetryBudgets: zyattempt.NewCallerRetryBudgets(), Quarantine: n.quarantine, Meter: n.meter, Bundle: n.bundle.Current,
-		Locality: n.cfg.Settings.Locality, LinkBudget: n.linkBudget, WorkersLimitRetries: n.retryBudgets != nil, OnReply: onReply, Recorder: n.recorder,
+		Locality: n.cfg.Settings.Locality, LinkBudget: n.linkBudget, WorkersLimitRetries: n.retryBudgets != nil, OnReply: onReply, Notices: zynotice.NewMemory(), Recorder: n.recorder,
 	})
 	n.keyOwners = &keyOwnerClient{
 		self: n.id, view: n.view, client: n.client, bundle: n.bundle.Current, queryLocal: n.receiver.Query,
--- a/message.go
+++ b/message.go
@@ -81,6 +81,9 @@
 	EarlierCalls int `codec:"ec"`
 	// LastChoice is true if the sender asks no other node should this one refuse.
 	LastChoice bool `codec:"lc"`
+	// Heard is what the sender has heard of the worker in earlier replies, nil if nothing.
+	// The node of the worker may have started again since, and know less.
+	Heard *HeardNotice `codec:"no"`
 }
 
 // Grant is the permission to run an idempotency key once, issued by the owner of
@@ -159,6 +162,8 @@
 	CalledByWorkers bool `codec:"ki"`
 	// Costs is the cost of a call of the route to each service.
 	Costs []ServiceCost `codec:"bu"`
+	// Heard is what the worker says about itself, nil if nothing.
+	Heard *HeardNotice `codec:"no"`
 }
 
 // ServiceCost is the cost of a call to a service, including all calls to that
@@ -202,3 +207,11 @@
 	// Leaving is true if the worker is about to end.
 	Leaving bool `codec:"e"`
 }
+
+// HeardNotice is what a run of a worker says about itself, as one node tells another.
+type HeardNotice struct {
+	Instance Instance `codec:"i"`
+	// Incarnation is 0 if the node does not know it.
+	Incarnation Incarnation  `codec:"n"`
+	Notice      WorkerNotice `codec:"w"`
+}
