--- a/core/zyingress/notice.go
+++ b/core/zyingress/notice.go
@@ -79,6 +79,16 @@
 	return nil
 }
 
+// adoptFound takes in what the worker said in the response to a health check, and reports
+// whether that is news. r.mu must be held.
+func (r *Receiver) adoptFound(now time.Time, n zinniayoke.WorkerNotice) bool {
+	if !r.current.notices.Adopt(now, n) {
+		return false
+	}
+	r.cfg.Recorder.Record(r.applyNotice(now).event)
+	return true
+}
+
 // applyNotice applies what the worker says now. r.mu must be held.
 func (r *Receiver) applyNotice(now time.Time) noticeChange {
 	r.applyResult(now, r.queue.SetRateLimit(now, r.rateLimit()))
--- a/core/zyingress/worker.go
+++ b/core/zyingress/worker.go
@@ -108,11 +108,7 @@
 	if a.State == zinniayoke.WorkerDraining {
 		r.refuseWaiting(zinniayoke.ReasonDraining)
 	}
-	if r.current.notices.Adopt(now, a.Notice) {
-		changed = true
-		r.cfg.Recorder.Record(r.applyNotice(now).event)
-	}
-	return changed, nil
+	return r.adoptFound(now, a.Notice) || changed, nil
 }
 
 // isOutdated reports whether a later announcement of the same run has already
