--- a/core/zyingress/worker.go
+++ b/core/zyingress/worker.go
@@ -90,11 +90,7 @@
 		return false, &AnnouncementError{Field: "incarnation", Accepted: "one that is not older than the last"}
 	}
 	newRun := r.newRun(a)
-	if newRun {
-		a.State = r.firstState(a)
-	} else {
-		a.State = r.nextState(a)
-	}
+	a.State = r.stateAfter(a, newRun)
 	changed := newRun || r.gone || !a.equalState(r.announcement) || now.Sub(r.announcedAt) > r.cfg.AnnouncementTTL
 	r.gone = false
 	if newRun || a.Address != r.announcement.Address || a.Connections != r.announcement.Connections {
@@ -131,6 +127,14 @@
 	return a.Incarnation > r.announcement.Incarnation && !discovered
 }
 
+// stateAfter returns the state of the worker after the announcement. r.mu must be held.
+func (r *Receiver) stateAfter(a Announcement, newRun bool) zinniayoke.WorkerState {
+	if newRun {
+		return r.firstState(a)
+	}
+	return r.nextState(a)
+}
+
 // firstState returns the state of a run of the worker after its first announcement. The
 // run of an instance whose exit came before is the one that has ended. r.mu must be held.
 func (r *Receiver) firstState(a Announcement) zinniayoke.WorkerState {
