io/zyworker, docs: the product's own workers name rate limits and leaves

Cause: the ability that the users' platform asked for was reachable through its adapter only. Measured: TestNoticeInResponse passes; it could not be written before.

--- a/io/zyworker/worker.go
+++ b/io/zyworker/worker.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"zinniayoke"
+	"zinniayoke/core/zynotice"
 )
 
 // Config configures a Worker.
@@ -39,6 +40,15 @@
 	KeyHeader     = "Zinniayoke-Key"
 )
 
+// Headers by which a worker says something about itself in its responses.
+const (
+	// RateLimitHeader names the calls per second, a decimal number, that the worker accepts
+	// from all nodes together. A response without it ends the limit.
+	RateLimitHeader = "Zinniayoke-Rate-Limit"
+	// LeavingHeader is "1" if the worker is about to end.
+	LeavingHeader = "Zinniayoke-Leaving"
+)
+
 // Worker implements zinniayoke.Worker over HTTP. A Worker must be created with New.
 type Worker struct {
 	cfg       Config
@@ -85,6 +95,9 @@
 		return nil, delivered.Load(), fmt.Errorf("worker: %w", err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if call.OnNotice != nil {
+		call.OnNotice(zynotice.Parse(resp.Header.Get(RateLimitHeader), resp.Header.Get(LeavingHeader)))
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseSize+1))
 	if err != nil {
 		return nil, true, fmt.Errorf("answer of the worker: %w", err)
