io/zylogger: notices of a worker are limited by rate

Cause: events without a request are always written, and a worker may name another rate limit in each response, so that the new workerNotice lines had no bound. Test: TestLinePerResponseOfAWorker failed before with 10000 lines of 10000.

--- a/io/zylogger/eventlog.go
+++ b/io/zylogger/eventlog.go
@@ -28,8 +28,9 @@
 // EventLog implements zinniayoke.EventRecorder and writes events as JSON lines. Events of
 // successful requests are written only if the request is sampled; the sample depends on
 // the request ID, so it is the same on all nodes. Events of failed requests that are not
-// sampled are limited by rate for each kind, reason and status. Events without a request
-// are always written. An EventLog must be created with NewEventLog.
+// sampled are limited by rate for each kind, reason and status, and so are the notices of
+// a worker, which may come with each response. Other events without a request are always
+// written. An EventLog must be created with NewEventLog.
 type EventLog struct {
 	out io.Writer
 
@@ -92,7 +93,7 @@
 		l.suppressed = 0
 		_, _ = l.out.Write([]byte(line))
 	}
-	if e.Request == "" || Sampled(e.Request) {
+	if e.Request == "" && e.Kind != zinniayoke.EventWorkerNotice || e.Request != "" && Sampled(e.Request) {
 		return true
 	}
 	key := limiterKey{kind: e.Kind, reason: e.Reason, status: e.Status}
--- a/io/zylogger/writer_test.go
+++ b/io/zylogger/writer_test.go
@@ -90,6 +90,18 @@
 	}
 }
 
+// TestLinePerResponseOfAWorker has a worker name another limit in each of its responses.
+func TestLinePerResponseOfAWorker(t *testing.T) {
+	var out bytes.Buffer
+	events := zylogger.NewEventLog(&out, func() int64 { return 0 })
+	for range 10_000 {
+		events.Record(&zinniayoke.Event{Kind: zinniayoke.EventWorkerNotice})
+	}
+	if n := strings.Count(out.String(), "workerNotice"); n == 0 || n > 1000 {
+		t.Errorf("%d of 10000 notices were written, want 1 to 1000", n)
+	}
+}
+
 func BenchmarkEventLogWritten(b *testing.B) {
 	events := zylogger.NewEventLog(zylogger.NewWriter(discard{}), func() int64 { return 0 })
 	e := &zinniayoke.Event{Kind: zinniayoke.EventMember, Node: "n", Detail: "alive, worker serving"}
