core/zybalancer: whether a service has another upstream costs no pick

Cause: each attempt asks since lately whether the sender has another choice, and a pick builds three lists of upstreams to tell. Change: HasUpstream looks for the first usable one; a retry asks by it too.

--- a/core/zybalancer/picker.go
+++ b/core/zybalancer/picker.go
@@ -132,10 +132,7 @@
 func (p *Picker) eligible(now time.Time, all []zinniayoke.Upstream, exclude []zinniayoke.NodeID) []zinniayoke.Upstream {
 	var list, ejected []zinniayoke.Upstream
 	for _, u := range all {
-		if !p.reachable(now, u) {
-			continue
-		}
-		if u.State == zinniayoke.WorkerDraining || u.State == zinniayoke.WorkerGone || slices.Contains(exclude, u.Node) {
+		if !p.usable(now, u, exclude) {
 			continue
 		}
 		if s, ok := p.nodes[u.Node]; ok && now.Before(s.ejectedUntil) {
@@ -150,6 +147,19 @@
 	return list
 }
 
+// HasUpstream reports whether Pick would find an upstream.
+func (p *Picker) HasUpstream(now time.Time, s zinniayoke.Service, exclude []zinniayoke.NodeID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.cfg.Resolver.Upstreams(s), func(u zinniayoke.Upstream) bool { return p.usable(now, u, exclude) })
+}
+
+// usable reports whether the upstream may get calls, unless it is ejected.
+func (p *Picker) usable(now time.Time, u zinniayoke.Upstream, exclude []zinniayoke.NodeID) bool {
+	serves := u.State != zinniayoke.WorkerDraining && u.State != zinniayoke.WorkerGone
+	return serves && p.reachable(now, u) && !slices.Contains(exclude, u.Node)
+}
+
 // reachable reports whether the link to the upstream's region has capacity.
 func (p *Picker) reachable(now time.Time, u zinniayoke.Upstream) bool {
 	same := u.Locality.Region == p.cfg.Locality.Region
--- a/core/zybalancer/picker_test.go
+++ b/core/zybalancer/picker_test.go
@@ -140,6 +140,9 @@
 			t.Fatalf("picked %q, want region-1", u.Node)
 		}
 	}
+	if !p.HasUpstream(time.Unix(0, 0), "s", []zinniayoke.NodeID{"far-1"}) || p.HasUpstream(time.Unix(0, 0), "s", []zinniayoke.NodeID{"far-1", "region-1"}) {
+		t.Error("HasUpstream disagrees with Pick")
+	}
 }
 
 // TestUpstreamRefusingTheRankIsNotPicked checks that ranks below a reported threshold go
--- a/core/zyegress/retry.go
+++ b/core/zyegress/retry.go
@@ -56,13 +56,10 @@
 // hasOtherUpstream reports whether there is an upstream that is not excluded beside the one
 // chosen for the latest attempt.
 func (s *Sender) hasOtherUpstream(f *sendState) bool {
-	tried := append(slices.Clone(f.excluded), f.to.Node)
-	_, ok := s.cfg.Picker.Pick(time.Now(), f.Call.Service, f.Call.Rank, tried)
-	return ok
+	return s.cfg.Picker.HasUpstream(time.Now(), f.Call.Service, append(slices.Clone(f.excluded), f.to.Node))
 }
 
 // hasUntriedUpstream reports whether there is an upstream that is not excluded.
 func (s *Sender) hasUntriedUpstream(f *sendState) bool {
-	_, ok := s.cfg.Picker.Pick(time.Now(), f.Call.Service, f.Call.Rank, f.excluded)
-	return ok
+	return s.cfg.Picker.HasUpstream(time.Now(), f.Call.Service, f.excluded)
 }
