--- a/core/zyingress/notice_test.go
+++ b/core/zyingress/notice_test.go
@@ -125,7 +125,8 @@
 					time.Sleep(time.Second / offered)
 					h.announce(zinniayoke.WorkerServing, 45)
 				}
-				time.Sleep(time.Second)
+				time.Sleep(time.Second) // Until the last calls have ended.
+				synctest.Wait()
 				if lowest < 100 {
 					t.Errorf("a refusal reports a load of %d%%, want at least 100%%", lowest)
 				}
@@ -170,6 +171,7 @@
 					go h.Run(context.Background(), a)
 					time.Sleep(40 * time.Millisecond)
 				}
+				synctest.Wait()
 				if h.worker.runs > c.most || h.worker.runs < c.least {
 					t.Errorf("the worker got %d calls, want %d to %d", h.worker.runs, c.least, c.most)
 				}
