core/zyegress: refusals for rate limits don't mean that the service is full

What callers saw on the large site: with limits at 33 of 45 workers of stockroom, 2% of the lookups refused and 4% late, while twelve workers without a limit had room. Cause: a sender gives up after four nodes have refused, since the service is then most likely full. A refusal for a worker's own rate limit says nothing of the others, and with 97 nodes a sender rarely has a recent load of the worker that it picks. Change: such refusals are counted apart, and the sender gives up after eight of them or when no other worker is left. Test: two cases of TestRetries failed before (4 sends instead of 6 and 8).

--- a/core/zyegress/retry.go
+++ b/core/zyegress/retry.go
@@ -41,7 +41,7 @@
 		zinniayoke.ReasonRetryBudget:
 		return false
 	}
-	if f.undelivered >= maxUndelivered || f.rejections >= maxRejections {
+	if f.undelivered >= maxUndelivered || f.limitedRefusals >= maxLimitedRefusals || f.rejections >= maxRejections {
 		return false
 	}
 	return f.Budget.Remaining() >= 1 && s.hasUntriedUpstream(f) || f.mayReturnToRejecting()
--- a/core/zyegress/sender.go
+++ b/core/zyegress/sender.go
@@ -62,6 +62,9 @@
 	// call is refused. Each costs a round trip, and if four nodes have no capacity,
 	// the service is most likely full.
 	maxUndelivered = 4
+	// maxLimitedRefusals is the number of refusals by nodes whose worker has a rate limit
+	// after which a call is refused. They say nothing of the workers without one.
+	maxLimitedRefusals = 8
 	// maxRejections is the number of rejections by workers after which a call is refused.
 	// While workers reject half of their calls, one in 256 calls gets that many.
 	maxRejections = 8
@@ -121,8 +124,11 @@
 	mayHaveRun bool
 	// to is the node chosen for the latest attempt.
 	to zinniayoke.Upstream
-	// undelivered counts the replies that report no delivery to a worker.
+	// undelivered counts the replies that report no delivery to a worker, except those that
+	// limitedRefusals counts.
 	undelivered int
+	// limitedRefusals counts the refusals by nodes whose worker has a rate limit.
+	limitedRefusals int
 	// rejectedBy lists the workers that have rejected the call, without having run it.
 	rejectedBy []zinniayoke.Upstream
 	// rejections counts the rejections.
@@ -160,6 +166,9 @@
 		f.mayHaveRun = true
 	}
 	switch {
+	case !reply.Delivered && reply.Outcome == zinniayoke.OutcomeNotRun && reply.Reason == zinniayoke.ReasonShed &&
+		reply.Heard != nil && reply.Heard.Notice.Limited:
+		f.limitedRefusals++
 	case !reply.Delivered && reply.Outcome == zinniayoke.OutcomeNotRun:
 		f.undelivered++
 	case reply.Outcome == zinniayoke.OutcomeNotRun && reply.Reason == zinniayoke.ReasonShed:
@@ -276,8 +285,8 @@
 		Method: c.Method, Host: c.Host, Path: c.Path, Query: c.Query, Headers: c.Headers, Body: c.Body,
 		BodyHash: c.BodyHash, Key: c.Key, Grant: f.Grant, Rank: c.Rank, Timeout: time.Until(c.Deadline),
 		Tokens: share, Depth: c.Depth, Version: c.Version, MaxWait: c.MaxWait,
-		RefusedElsewhere: f.undelivered > 0, Resent: f.delivered, InRepeatedRun: c.InRepeatedRun, EarlierCalls: c.EarlierCalls,
-		LastChoice: f.undelivered+1 >= maxUndelivered || !s.hasOtherUpstream(f),
+		RefusedElsewhere: f.undelivered+f.limitedRefusals > 0, Resent: f.delivered, InRepeatedRun: c.InRepeatedRun, EarlierCalls: c.EarlierCalls,
+		LastChoice: f.limitedRefusals+1 >= maxLimitedRefusals || !s.hasOtherUpstream(f),
 		Heard:      s.cfg.Notices.Of(zymember.HostOf(f.to.Node)),
 	}
 }
--- a/core/zyegress/sender_test.go
+++ b/core/zyegress/sender_test.go
@@ -27,6 +27,8 @@
 	rejected
 	// refused means that the node did not deliver the call to its worker.
 	refused
+	// limited means that the node refused the call for the rate limit of its worker.
+	limited
 	// noRetry means that the node refused the call for the retry budget of its service.
 	noRetry
 	// lost means that the worker may have run the call.
@@ -56,6 +58,9 @@
 		r.Response = &zinniayoke.Response{Status: 200, Attempt: a.ID, Request: a.Request, Hash: 0xef46db3751d8e999}
 	case rejected:
 		r.Outcome, r.Reason, r.Delivered = zinniayoke.OutcomeNotRun, zinniayoke.ReasonShed, true
+	case limited:
+		r.Outcome, r.Reason = zinniayoke.OutcomeNotRun, zinniayoke.ReasonShed
+		r.Heard = &zinniayoke.HeardNotice{Notice: zinniayoke.WorkerNotice{Limited: true, Limit: 1}}
 	case refused:
 		r.Outcome, r.Reason = zinniayoke.OutcomeNotRun, zinniayoke.ReasonShed
 	case noRetry:
@@ -110,6 +115,8 @@
 		{"no retry left", true, 5, []reply{rejected, noRetry}, 2, 2, zinniayoke.OutcomeNotRun},
 		{"refused by nodes, which costs no attempt", true, 5, []reply{refused, refused, refused, done}, 4, 4, zinniayoke.OutcomeDone},
 		{"refused by all nodes that are asked", true, 9, []reply{refused}, 4, 4, zinniayoke.OutcomeNotRun},
+		{"refused for the limits of five workers of nine", true, 9, []reply{limited, limited, limited, limited, limited, done}, 6, 6, zinniayoke.OutcomeDone},
+		{"refused for the limits of all workers", true, 20, []reply{limited}, 8, 8, zinniayoke.OutcomeNotRun},
 		{"lost and may be repeated", false, 5, []reply{lost, done}, 2, 2, zinniayoke.OutcomeDone},
 		{"lost twice", false, 5, []reply{lost, lost}, 2, 2, zinniayoke.OutcomeUnknown},
 		{"lost and must not be repeated", true, 5, []reply{lost}, 1, 1, zinniayoke.OutcomeUnknown},
--- a/message.go
+++ b/message.go
@@ -79,7 +79,8 @@
 	// EarlierCalls is how many calls the run that makes this one has made before, as far
 	// as known.
 	EarlierCalls int `codec:"ec"`
-	// LastChoice is true if the sender asks no other node should this one refuse.
+	// LastChoice is true if the sender asks no other node should this one refuse because of
+	// the rate limit of its worker.
 	LastChoice bool `codec:"lc"`
 	// Heard is what the sender has heard of the worker in earlier replies, nil if nothing.
 	// The node of the worker may have started again since, and know less.
