core/zyidempotency: records of imported keys go when they are due

What operators would see: after a planned stop of a neighbour, a worker's node keeps keys for longer than the window, and refuses new ones with tableFull once MaxKeys is reached. One imported record with a negative age, which is kept for longer, held back all that came later. Change: the changes are ordered by time in a B-tree. Test: TestImportedKeyHoldsBackTheRemovalOfOthers failed before: 3 keys instead of 2, 1 and 1.

--- a/core/zyidempotency/grant_table.go
+++ b/core/zyidempotency/grant_table.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/google/btree"
+
 	"zinniayoke"
 )
 
@@ -40,10 +42,9 @@
 	mu       sync.Mutex
 	promises map[zinniayoke.KeySlot]promise
 	keys     map[zinniayoke.Key]*storedRecord
-	// changes lists the changes of records in the order in which they were stored;
-	// the time of an imported one may be out of order. An entry is obsolete if its
-	// record has changed again since.
-	changes []change
+	// changes holds the changes of records by time. An entry is obsolete if its record has
+	// changed again since.
+	changes *btree.BTreeG[change]
 }
 
 // promise is the highest epoch that the node has promised for a slot; attempts
@@ -84,12 +85,22 @@
 	at  time.Time
 }
 
+func earlierChange(a, b change) bool {
+	if !a.at.Equal(b.at) {
+		return a.at.Before(b.at)
+	}
+	return a.key < b.key
+}
+
+const btreeDegree = 16
+
 // NewGrantTable returns an empty table.
 func NewGrantTable(cfg GrantTableConfig) *GrantTable {
 	return &GrantTable{
 		cfg:      cfg,
 		promises: make(map[zinniayoke.KeySlot]promise),
 		keys:     make(map[zinniayoke.Key]*storedRecord),
+		changes:  btree.NewG(btreeDegree, earlierChange),
 	}
 }
 
@@ -261,16 +272,18 @@
 
 func (g *GrantTable) store(at time.Time, r KeyRecord) {
 	g.keys[r.Key] = &storedRecord{KeyRecord: r, at: at}
-	g.changes = append(g.changes, change{key: r.Key, at: at})
+	g.changes.ReplaceOrInsert(change{key: r.Key, at: at})
 }
 
 // sweep deletes records that are older than the window, except those of attempts
 // that still run.
 func (g *GrantTable) sweep(now time.Time) {
-	n := 0
-	for n < len(g.changes) && now.Sub(g.changes[n].at) > g.cfg.Window {
-		c := g.changes[n]
-		n++
+	for {
+		c, ok := g.changes.Min()
+		if !ok || now.Sub(c.at) <= g.cfg.Window {
+			return
+		}
+		g.changes.DeleteMin()
 		r, ok := g.keys[c.key]
 		if !ok || !r.at.Equal(c.at) {
 			continue
@@ -281,7 +294,6 @@
 		}
 		delete(g.keys, c.key)
 	}
-	g.changes = g.changes[n:]
 }
 
 func (r *storedRecord) snapshot(now time.Time) KeyRecord {
