core/zyingress: calls that never ran don't count as fast ones

Cause: a call whose grant is refused after its admission, or whose sender left in that moment, was reported to the queue as finished after 0 s. The averages by which calls are refused fell, so that calls without enough time left were handed to the worker. Test: TestCallsThatNeverRanCountAsFast failed before (unknown instead of notRun).

--- a/core/zyadmission/queue.go
+++ b/core/zyadmission/queue.go
@@ -269,6 +269,15 @@
 	return res
 }
 
+// Withdraw removes a started call that was not delivered to the worker after all, and
+// starts waiting calls. It says nothing about service times.
+func (q *Queue) Withdraw(now time.Time, id zinniayoke.AttemptID) Result {
+	var res Result
+	delete(q.running, id)
+	q.startWaiting(now, &res)
+	return res
+}
+
 // Remove removes an abandoned attempt from the queue and reports whether it was
 // waiting.
 func (q *Queue) Remove(id zinniayoke.AttemptID) bool {
--- a/core/zyingress/receiver.go
+++ b/core/zyingress/receiver.go
@@ -157,6 +157,9 @@
 	if err == nil {
 		err = r.awaitAdmission(ctx, c)
 	}
+	if err == nil {
+		err = r.beginGrant(c)
+	}
 	if err != nil {
 		reply := r.errorReply(a, err)
 		reply.CalledByWorkers = c.calledByWorkers
@@ -274,7 +277,7 @@
 	if reason := <-c.admission; reason != zinniayoke.ReasonNone {
 		return zinniayoke.NewRefusedError(reason, "refused by the worker's node")
 	}
-	r.applyResult(time.Now(), r.queue.Finish(time.Now(), c.attempt.ID, 0))
+	r.applyResult(time.Now(), r.queue.Withdraw(time.Now(), c.attempt.ID))
 	r.removeCall(c)
 	return queueError(ctx)
 }
@@ -283,11 +286,6 @@
 // carries a grant, the outcome is also recorded for its key.
 func (r *Receiver) deliver(ctx context.Context, c *activeCall, worker zinniayoke.Worker) *zinniayoke.Reply {
 	a := c.attempt
-	if hasGrant(a) {
-		if err := r.cfg.Grants.Begin(time.Now(), a); err != nil {
-			return r.errorReply(a, err)
-		}
-	}
 	parent := &zyparent.Parent{
 		Request: a.Request, Caller: a.Caller, Route: a.Route, Key: a.Key, Rank: a.Rank, Depth: a.Depth, Version: a.Version,
 		Deadline: c.arrived.Add(a.Timeout), Budget: zyattempt.NewBudget(a.Tokens, a.Tokens), Done: ctx.Done(),
@@ -335,6 +333,22 @@
 	return r.announcement.Instance, r.current.number
 }
 
+// beginGrant records that an admitted attempt with a grant is about to be delivered. If it
+// must not be, the call is withdrawn.
+func (r *Receiver) beginGrant(c *activeCall) error {
+	if !hasGrant(c.attempt) {
+		return nil
+	}
+	err := r.cfg.Grants.Begin(time.Now(), c.attempt)
+	if err != nil {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.applyResult(time.Now(), r.queue.Withdraw(time.Now(), c.attempt.ID))
+		r.removeCall(c)
+	}
+	return err
+}
+
 // hasGrant reports whether the attempt carries a grant from the owner of its key.
 func hasGrant(a *zinniayoke.Attempt) bool {
 	return a.Key != "" && a.Grant != zinniayoke.Grant{}
--- a/core/zyingress/receiver_test.go
+++ b/core/zyingress/receiver_test.go
@@ -303,6 +303,31 @@
 	}
 }
 
+// TestCallsThatNeverRanCountAsFast runs slow calls, then has the grants of others refused
+// after their admission. A call that has too little time left for the worker must then still
+// be refused.
+func TestCallsThatNeverRanCountAsFast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(1)
+		defer h.stop()
+		for range 10 {
+			h.run("x")
+		}
+		stale := zinniayoke.Grant{Slot: zinniayoke.KeySlot{Domain: "d"}, Epoch: zinniayoke.Epoch{Major: 1}}
+		if _, _, err := h.grants.Promise(time.Now(), []zinniayoke.KeySlot{stale.Slot}, zinniayoke.Epoch{Major: 2}); err != nil {
+			t.Fatal(err)
+		}
+		for i := range 40 {
+			a := h.attempt("x")
+			a.Key, a.Grant = zinniayoke.Key(fmt.Sprint(i)), stale
+			checkReply(t, "a stale grant", h.Run(context.Background(), a), zinniayoke.OutcomeNotRun, zinniayoke.ReasonStaleEpoch)
+		}
+		late := h.attempt("x")
+		late.Timeout = h.worker.serviceTime / 4
+		checkReply(t, "a call with a quarter of the service time left", h.Run(context.Background(), late), zinniayoke.OutcomeNotRun, zinniayoke.ReasonDeadline)
+	})
+}
+
 // TestQueueShedsLowRankFirst sends 20 calls of each of two ranks to a worker with one
 // slot. The queue overflows, and the lower rank must be shed first.
 func TestQueueShedsLowRankFirst(t *testing.T) {
