core/zyagreement: the test of the parent check can fail

The old half of TestForgedRecordsAreRejected was wrong: it built a second reader that named the hash in force as the parent of the losing roll-out, so it passed whatever the check did; with the check removed from the code it still passed. Replaced by one as strict as its name: a version that is valid in all else names a parent that has been replaced, and is rejected with a LostRaceError, beside the same version that names the parent in force and is accepted. With the check removed it fails. No code is changed.

--- a/core/zyagreement/mutation_test.go
+++ b/core/zyagreement/mutation_test.go
@@ -1,6 +1,7 @@
 package zyagreement_test
 
 import (
+	"errors"
 	"testing"
 
 	"zinniayoke/core/zyagreement"
@@ -19,17 +20,24 @@
 		rollOut(v2a, 2, h1, "alice"),
 	}
 	t.Run("parent check off", func(t *testing.T) {
-		s := zyagreement.NewState(genesis())
-		_ = apply(s, base...)
-		_ = apply(s, rollOut(v2b, 2, h1, "bob"))
-		honest := s.Hash()
-		// mutated simulates a reader without the check: the losing roll-out names the
-		// hash in force as its parent, and takes effect.
-		mutated := zyagreement.NewState(genesis())
-		_ = apply(mutated, base[:len(base)-1]...)
-		_ = apply(mutated, rollOut(v2b, 2, mutated.Hash(), "bob"))
-		if honest != zybundle.HashOf(v2a) || mutated.Hash() == honest {
-			t.Errorf("with the check %s is in force, without it %s", honest, mutated.Hash())
+		// Version 3 is valid after version 2, but its author had seen version 1 only. That
+		// of another author, who has seen version 2, shows that nothing else rejects it.
+		v3 := bundleText(3, 3, "alice", "bob")
+		for _, c := range []struct {
+			name         string
+			parent, want zybundle.Hash
+		}{
+			{"the parent has been replaced", h1, zybundle.HashOf(v2a)},
+			{"the parent is in force", zybundle.HashOf(v2a), zybundle.HashOf(v3)},
+		} {
+			s := zyagreement.NewState(genesis())
+			_ = apply(s, base...)
+			_ = apply(s, proposal(v3, 3, "alice"), signOff(v3, 3, "bob"))
+			err := apply(s, rollOut(v3, 3, c.parent, "alice"))
+			var lost *zyagreement.LostRaceError
+			if s.Hash() != c.want || errors.As(err, &lost) != (c.want != zybundle.HashOf(v3)) {
+				t.Errorf("%s: %s is in force (%v), want %s", c.name, s.Hash(), err, c.want)
+			}
 		}
 	})
 	t.Run("checkpoint trusted unsigned", func(t *testing.T) {
