cmd, core/zyexplain: explain shows rates and leaves of workers

Cause: explain printed a workerNotice before the end of a request without what it says, and lines of refusals for a rate limit without the rate. Change: lines have rate=GOT/ACCEPTED and leaving; lines of the context are printed as all others. Test: a case of TestCauses for the sentence, which had none.

--- a/cmd/zinniayoke/explain.go
+++ b/cmd/zinniayoke/explain.go
@@ -84,7 +84,7 @@
 		_, _ = fmt.Fprintln(w, "believed shortly before:")
 	}
 	for _, l := range e.Context {
-		_, _ = fmt.Fprintf(w, "  %s %s: %s %s %s\n", formatTime(l), l.Source, l.Event, l.Node, l.Detail)
+		_, _ = fmt.Fprintln(w, formatLine(l))
 	}
 	_, _ = fmt.Fprintln(w, e.Cause)
 }
@@ -112,6 +112,10 @@
 	add("waited", time.Duration(l.QueueTimeUs)*time.Microsecond, l.QueueTimeUs != 0)
 	add("took", time.Duration(l.DurationUs)*time.Microsecond, l.DurationUs != 0)
 	add("slots", fmt.Sprintf("%d/%d+%d", l.Running, l.Limit, l.Waiting), l.Limit != 0)
+	if l.RateLimit != nil {
+		add("rate", fmt.Sprintf("%.1f/%.1f", l.DeliveryRate, *l.RateLimit), true)
+	}
+	add("leaving", l.Leaving, l.Leaving)
 	add("again", l.WillRetry, l.WillRetry)
 	add("detail", fmt.Sprintf("%q", l.Detail), l.Detail != "")
 	return text
--- a/core/zyexplain/explanation.go
+++ b/core/zyexplain/explanation.go
@@ -39,6 +39,7 @@
 	// RateLimit is nil if the worker has named no rate.
 	RateLimit    *float64 `json:"rateLimit"`
 	DeliveryRate float64  `json:"deliveryRate"`
+	Leaving      bool     `json:"leaving"`
 	WillRetry    bool     `json:"again"`
 	Detail       string   `json:"detail"`
 	Message      string   `json:"msg"`
--- a/core/zyexplain/explanation_test.go
+++ b/core/zyexplain/explanation_test.go
@@ -21,6 +21,10 @@
 			`{"time":"2026-01-01T00:00:02Z","event":"callEnded","request":"r","outcome":"notRun","reason":"shed"}
 			 {"time":"2026-01-01T00:00:01Z","event":"attemptRefused","request":"r","instance":"i-1","reason":"shed","limit":12,"running":12,"waiting":7}`,
 			"the admission queue of i-1 had 12 of 12 slots in use and 7 calls waiting"},
+		{"shed for the rate limit of the worker",
+			`{"time":"2026-01-01T00:00:02Z","event":"callEnded","request":"r","outcome":"notRun","reason":"shed"}
+			 {"time":"2026-01-01T00:00:01Z","event":"attemptRefused","request":"r","instance":"i-1","reason":"shed","limit":12,"running":3,"waiting":7,"rateLimit":12.8,"deliveryRate":13.1}`,
+			"3 of 12 slots in use and 7 calls waiting; its worker accepts 12.8 calls per second and got 13.1."},
 		{"worker lost",
 			`   4.03 sidecar-a {"time":"2026-01-01T00:00:02Z","event":"callEnded","request":"r","outcome":"unknown","reason":"answerLost","detail":"the worker broke off"}
 			 {"time":"2026-01-01T00:00:01Z","event":"attemptRun","request":"r","instance":"i-2","reason":"answerLost"}`,
