--- a/cmd/zinniayoke/soak_test.go
+++ b/cmd/zinniayoke/soak_test.go
@@ -25,7 +25,7 @@
 func TestSoak(t *testing.T) {
 	for _, seed := range []uint64{
 		1,   // A proxy that ended reset connections regularly passed truncated responses on.
-		201, // Code that ignored rate limits and leaves in responses.
+		201, // Code that ignored rate limits and leaves in responses; a check that blamed each worker that got a request for the response of one.
 	} {
 		report, err := zysoak.Run(context.Background(), zysoak.Config{
 			Program: []string{os.Args[0]}, Env: []string{runAsProgram + "=1"}, Dir: t.TempDir(),
