core/zybundle, core/zyentry, platform: customers and their keys

Cause: no customer was known on the platform, so keys were passed on to workers and requests with unknown keys ran. Customers are part of a bundle now, their keys as digests. The entry node identifies the customer after the route is found, refuses unknown keys with 401 and names the customer to the worker. A request carries the importance of its customer before that of its route. Limits of customers have an interface, and no implementation yet.

--- a/core/zybundle/bundle.go
+++ b/core/zybundle/bundle.go
@@ -51,11 +51,20 @@
 	Services  map[zinniayoke.Service]Service
 	Routes    map[zinniayoke.RouteName]*Route
 	Links     map[RegionPair]Link
+	// Customers may send requests with their keys. If there are none, requests need no key.
+	Customers map[zinniayoke.Customer]Customer
+	// EvenLoad switches on the even distribution of load over the workers of a service.
+	EvenLoad bool
 	// ReleasedFromQuarantine holds the fingerprints, as 16 hexadecimal digits, of the
 	// requests that operators have released from quarantine.
 	ReleasedFromQuarantine map[string]bool
 
 	callersByTokenHash map[string]zinniayoke.Caller
+	customersByKey     map[KeyHash]zinniayoke.Customer
+	// customerPriorities and classImportances hold the distinct values from the most to the
+	// least important.
+	customerPriorities []int
+	classImportances   []int
 	muxByService       map[zinniayoke.Service]*http.ServeMux
 	// routesByHost holds the routes that are selected by host and path prefix.
 	routesByHost map[string]*hostRoutes
@@ -130,8 +139,10 @@
 	// NeverRepeat states that a call must not run twice: it is not sent again if an
 	// earlier attempt may have run.
 	NeverRepeat bool
-	Timeout     time.Duration
-	MaxBody     zinniayoke.Bytes
+	// Public states that requests need no customer's key.
+	Public  bool
+	Timeout time.Duration
+	MaxBody zinniayoke.Bytes
 	// Host and Prefix select the route for calls that name no service.
 	Host   string
 	Prefix string
--- a/core/zybundle/compose.go
+++ b/core/zybundle/compose.go
@@ -16,8 +16,11 @@
 	Text     []byte
 	Services []Service
 	// Routes are selected by host and prefix. Their class is derived from Priority.
-	Routes []PrefixRoute
-	Limits Limits
+	Routes    []PrefixRoute
+	Customers []Customer
+	// EvenLoad switches on the even distribution of load.
+	EvenLoad bool
+	Limits   Limits
 	// QuarantineFor is how long a request that crashes workers is refused; 0 means
 	// the default.
 	QuarantineFor time.Duration
@@ -31,7 +34,7 @@
 
 // CompositionError reports an invalid part of a composition.
 type CompositionError struct {
-	// Part is "version" or "route NAME".
+	// Part is "version", "route NAME" or "customer NAME".
 	Part     string
 	Found    string
 	Accepted string
@@ -54,6 +57,7 @@
 		b.QuarantineFor = c.QuarantineFor
 	}
 	b.Limits = c.Limits
+	b.EvenLoad = c.EvenLoad
 	if c.Version == 0 {
 		return nil, &CompositionError{Part: "version", Found: "0", Accepted: "a whole number above 0"}
 	}
@@ -65,6 +69,12 @@
 			return nil, err
 		}
 	}
+	for _, customer := range c.Customers {
+		if problem := b.addCustomer(customer); problem != nil {
+			return nil, &CompositionError{Part: "customer " + string(customer.Name), Found: problem.found, Accepted: problem.accepted}
+		}
+	}
+	b.orderImportances()
 	return b, nil
 }
 
--- /dev/null
+++ b/core/zybundle/customer.go
@@ -0,0 +1,108 @@
+package zybundle
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"math"
+	"slices"
+
+	"zinniayoke"
+	"zinniayoke/core/zyrank"
+)
+
+// KeyHash is the SHA-256 digest of a customer's key.
+type KeyHash [sha256.Size]byte
+
+// HashKey returns the digest of a key.
+func HashKey(key string) KeyHash {
+	return sha256.Sum256([]byte(key))
+}
+
+// Customer is a group of clients that share keys, a priority and a rate limit.
+type Customer struct {
+	Name zinniayoke.Customer
+	// KeyHashes are the digests of the keys that are accepted. A customer without any
+	// cannot send requests.
+	KeyHashes []KeyHash
+	// Priority orders the customers; 0 is the highest. It takes precedence over the class
+	// of the route.
+	Priority int
+	// Limit is the rate limit over all nodes together.
+	Limit zinniayoke.CustomerLimit
+}
+
+// CustomerOf returns the customer that holds the key.
+func (b *Bundle) CustomerOf(key string) (Customer, bool) {
+	// The key is looked up by its digest, so that the time taken says nothing about how
+	// much of a guessed key is right.
+	name, ok := b.customersByKey[HashKey(key)]
+	if !ok {
+		return Customer{}, false
+	}
+	return b.Customers[name], true
+}
+
+// customerProblem describes an invalid customer: what was found, and what is accepted.
+type customerProblem struct {
+	found    string
+	accepted string
+}
+
+// addCustomer adds a customer to the bundle, or returns why it is invalid.
+func (b *Bundle) addCustomer(c Customer) *customerProblem {
+	limit := c.Limit
+	switch {
+	case c.Name == "":
+		return &customerProblem{found: "no name", accepted: "a name"}
+	case limit.Rate < 0 || math.IsNaN(float64(limit.Rate)) || math.IsInf(float64(limit.Rate), 0):
+		return &customerProblem{found: fmt.Sprintf("rate %g", limit.Rate), accepted: "requests per second, 0 for no limit"}
+	case limit.Burst < 0 || math.IsNaN(limit.Burst) || math.IsInf(limit.Burst, 0):
+		return &customerProblem{found: fmt.Sprintf("burst %g", limit.Burst), accepted: "a number of requests of 0 or more"}
+	case limit.Rate == 0 && limit.Burst > 0:
+		return &customerProblem{found: fmt.Sprintf("burst %g without a rate", limit.Burst), accepted: "a rate above 0 for a customer with a burst"}
+	case c.Priority < 0:
+		return &customerProblem{found: fmt.Sprintf("priority %d", c.Priority), accepted: "a whole number of 0 or more"}
+	}
+	for _, key := range c.KeyHashes {
+		if other, ok := b.customersByKey[key]; ok {
+			return &customerProblem{found: "a key of customer " + string(other), accepted: "different keys for each customer"}
+		}
+	}
+	for _, key := range c.KeyHashes {
+		b.customersByKey[key] = c.Name
+	}
+	c.Limit.Customer = c.Name
+	b.Customers[c.Name] = c
+	return nil
+}
+
+// Importance returns the importance of a root request. In a bundle with customers the
+// priority of the customer takes precedence over the class of the route; a request
+// without a customer ranks as one of the highest priority.
+func (b *Bundle) Importance(c zinniayoke.Customer, r *Route) int {
+	if len(b.Customers) == 0 {
+		return r.Class.Importance
+	}
+	level := 0
+	if customer, ok := b.Customers[c]; ok {
+		level = slices.Index(b.customerPriorities, customer.Priority)
+	}
+	step := slices.Index(b.classImportances, r.Class.Importance)
+	return max(zyrank.MaxRootImportance-level*len(b.classImportances)-step, 0)
+}
+
+// orderImportances collects the priorities of customers and the importances of classes,
+// each from the most to the least important, for Importance.
+func (b *Bundle) orderImportances() {
+	for _, c := range b.Customers {
+		b.customerPriorities = append(b.customerPriorities, c.Priority)
+	}
+	slices.Sort(b.customerPriorities)
+	b.customerPriorities = slices.Compact(b.customerPriorities)
+	for _, r := range b.Routes {
+		b.classImportances = append(b.classImportances, r.Class.Importance)
+	}
+	slices.Sort(b.classImportances)
+	b.classImportances = slices.Compact(b.classImportances)
+	slices.Reverse(b.classImportances)
+}
--- a/core/zybundle/parse.go
+++ b/core/zybundle/parse.go
@@ -68,7 +68,9 @@
 		Routes:                 make(map[zinniayoke.RouteName]*Route),
 		Links:                  make(map[RegionPair]Link),
 		ReleasedFromQuarantine: make(map[string]bool),
+		Customers:              make(map[zinniayoke.Customer]Customer),
 		callersByTokenHash:     make(map[string]zinniayoke.Caller),
+		customersByKey:         make(map[KeyHash]zinniayoke.Customer),
 		muxByService:           make(map[zinniayoke.Service]*http.ServeMux),
 		routesByHost:           make(map[string]*hostRoutes),
 	}
--- a/core/zyentry/entry.go
+++ b/core/zyentry/entry.go
@@ -28,7 +28,9 @@
 	Token string
 	// ClaimedCaller is the name that the caller gives without authentication.
 	ClaimedCaller string
-	Key           string
+	// CustomerKey is the customer's key that the request carries, "" for none.
+	CustomerKey string
+	Key         string
 	// Context is the handle of the parent call, "" for root requests.
 	Context string
 	// Arrived is the arrival time. Arrived plus Timeout is the deadline by which the
@@ -77,7 +79,9 @@
 	KeyOwners  KeyOwners
 	Quarantine *zyquarantine.Tracker
 	Shares     *zyrank.Shares
-	Meter      zinniayoke.Meter
+	// CustomerLimits limits the requests of customers; nil means no limits.
+	CustomerLimits zinniayoke.CustomerLimiter
+	Meter          zinniayoke.Meter
 	// Recorder records the end of each call; nil discards the events.
 	Recorder zinniayoke.EventRecorder
 	// Graph distinguishes routes called by workers from those called by callers. It
@@ -106,8 +110,10 @@
 	in     *Inbound
 	bundle *zybundle.Bundle
 	caller zybundle.Caller
-	route  *zybundle.Route
-	parent *zyparent.Parent
+	// customer is the zero value for requests without a customer.
+	customer zybundle.Customer
+	route    *zybundle.Route
+	parent   *zyparent.Parent
 	// chain is the presumed chain of calls of a worker's run that this call belongs to.
 	chain *zyparent.Chain
 	// fromWorker is true for a call of a worker that carries no parent handle. Its
@@ -131,7 +137,7 @@
 	}
 	e := &Entry{cfg: cfg}
 	e.handle = zinniayoke.Chain(e.send,
-		e.identify, e.findRoute, e.setDeadline, e.limitCaller, e.setKey, e.refuseQuarantined, e.shed, e.allocateBudget)
+		e.identify, e.findRoute, e.setDeadline, e.limitCaller, e.limitCustomer, e.setKey, e.refuseQuarantined, e.shed, e.allocateBudget)
 	return e
 }
 
@@ -149,7 +155,7 @@
 		changed.Outcome = zinniayoke.OutcomeUnknown
 		reply = &changed
 	}
-	if reply.Outcome == zinniayoke.OutcomeNotRun && e.cfg.Shedder != nil && cs.route != nil && !cs.fromWorker {
+	if reply.Outcome == zinniayoke.OutcomeNotRun && e.cfg.Shedder != nil && cs.route != nil && !cs.fromWorker && !isCustomerRefusal(reply.Reason) {
 		changed := *reply
 		changed.RetryAfter = retryAfter(cs)
 		reply = &changed
--- a/core/zyentry/filter.go
+++ b/core/zyentry/filter.go
@@ -67,6 +67,9 @@
 		if zinniayoke.Bytes(len(cs.in.Body)) > route.MaxBody {
 			return nil, zinniayoke.NewRefusedError(zinniayoke.ReasonTooLarge, fmt.Sprintf("the route takes at most %d bytes", route.MaxBody))
 		}
+		if err := e.identifyCustomer(cs); err != nil {
+			return nil, err
+		}
 		e.fillCall(cs)
 		if e.cfg.Graph != nil && !cs.in.Arrived.IsZero() {
 			e.matchParent(cs)
@@ -122,7 +125,7 @@
 		c.MaxWait = time.Duration(rootMaxWaitShare * float64(cs.route.Objective))
 		c.Version = cs.bundle.Version
 		share := e.cfg.Shares.Observe(time.Now(), cs.caller.Name)
-		c.Rank = zyrank.New(cs.route.Class.Importance, cs.caller.Urgency, share, c.Request)
+		c.Rank = zyrank.New(cs.bundle.Importance(c.Customer, cs.route), cs.caller.Urgency, share, c.Request)
 	}
 }
 
--- a/identifier.go
+++ b/identifier.go
@@ -23,6 +23,11 @@
 // caller.
 type Caller string
 
+// Customer is the name of a customer in the bundle: whoever holds one of its keys. A
+// customer has a priority and a rate limit that holds over all nodes together. The zero
+// value means none.
+type Customer string
+
 // ClassName is the name of an importance class. The zero value means none.
 type ClassName string
 
--- a/message.go
+++ b/message.go
@@ -12,8 +12,11 @@
 type Call struct {
 	Request RequestID
 	Caller  Caller
-	Service Service
-	Method  string
+	// Customer is the customer whose key the request carried, "" for none and for calls of
+	// workers.
+	Customer Customer
+	Service  Service
+	Method   string
 	// Host is the host named by the caller, "" if routing does not need it.
 	Host     string
 	Path     string
@@ -50,6 +53,7 @@
 	ID       AttemptID     `codec:"id"`
 	Request  RequestID     `codec:"rq"`
 	Caller   Caller        `codec:"ca"`
+	Customer Customer      `codec:"cu"`
 	Service  Service       `codec:"sv"`
 	Route    RouteName     `codec:"ro"`
 	Method   string        `codec:"me"`
--- a/platform.go
+++ b/platform.go
@@ -67,6 +67,25 @@
 	Cancel(to Upstream, id AttemptID)
 }
 
+// CustomerLimiter limits the requests of each customer over all nodes together.
+type CustomerLimiter interface {
+	// Take takes the customer's permission for one request. It may wait for another node.
+	// The error is a *CallError with ReasonCallerLimit, whose RetryAfter is when the next
+	// permission is expected.
+	Take(ctx context.Context, limit CustomerLimit) error
+	// Return gives back the permission of a request that no worker has run.
+	Return(c Customer)
+}
+
+// CustomerLimit is the rate limit of a customer.
+type CustomerLimit struct {
+	Customer Customer
+	// Rate is the limit of all nodes together; 0 means none.
+	Rate Rate
+	// Burst is the number of requests that may exceed Rate at once.
+	Burst float64
+}
+
 // Resolver finds the upstreams of a service.
 type Resolver interface {
 	// Upstreams returns the workers of a service that are not known to be gone.
