core/zyegress, core/zyingress: retry errors of workers, and send failing workers less

A map lookup makes eight calls to the deepest service, so that one failing worker of four breaks most. Change: where the bundle asks for it (RetryErrors), a call that may be repeated goes to another worker if the first one responds with 500 and no call of its run has failed, within attempts and the retry budget; errors raise the load that a worker's node reports, as rejections do.

--- a/core/zybundle/bundle.go
+++ b/core/zybundle/bundle.go
@@ -55,6 +55,10 @@
 	Customers map[zinniayoke.Customer]Customer
 	// EvenLoad switches on the even distribution of load over the workers of a service.
 	EvenLoad bool
+	// RetryErrors states that a call that may be repeated is retried at another worker if
+	// the first one responds with an error of its own, and that workers with many such
+	// errors get fewer calls.
+	RetryErrors bool
 	// ReleasedFromQuarantine holds the fingerprints, as 16 hexadecimal digits, of the
 	// requests that operators have released from quarantine.
 	ReleasedFromQuarantine map[string]bool
--- a/core/zybundle/compose.go
+++ b/core/zybundle/compose.go
@@ -20,7 +20,9 @@
 	Customers []Customer
 	// EvenLoad switches on the even distribution of load.
 	EvenLoad bool
-	Limits   Limits
+	// RetryErrors retries calls to which a worker responds with an error of its own.
+	RetryErrors bool
+	Limits      Limits
 	// QuarantineFor is how long a request that crashes workers is refused; 0 means
 	// the default.
 	QuarantineFor time.Duration
@@ -57,7 +59,7 @@
 		b.QuarantineFor = c.QuarantineFor
 	}
 	b.Limits = c.Limits
-	b.EvenLoad = c.EvenLoad
+	b.EvenLoad, b.RetryErrors = c.EvenLoad, c.RetryErrors
 	if c.Version == 0 {
 		return nil, &CompositionError{Part: "version", Found: "0", Accepted: "a whole number above 0"}
 	}
--- a/core/zyegress/retry.go
+++ b/core/zyegress/retry.go
@@ -13,6 +13,9 @@
 	if ctx.Err() != nil {
 		return false
 	}
+	if reply.Outcome == zinniayoke.OutcomeDone {
+		return s.mayRetryError(f, reply)
+	}
 	if reply.Outcome == zinniayoke.OutcomeUnknown && f.Route.NeverRepeat || f.exclusive {
 		return false
 	}
@@ -53,6 +56,20 @@
 	return len(f.rejectedBy) > 0 && !f.mayHaveRun
 }
 
+// mayRetryError reports whether a call to which a worker has responded with an error of its
+// own is sent to another worker. A run that failed because of the calls that it made is not
+// repeated: that would repeat those calls too.
+func (s *Sender) mayRetryError(f *sendState, reply *zinniayoke.Reply) bool {
+	b := s.cfg.Bundle()
+	if b == nil || !b.RetryErrors || !reply.WorkerError || f.Route.NeverRepeat || f.exclusive {
+		return false
+	}
+	if f.Budget.Remaining() < 1 || !s.hasUntriedUpstream(f) {
+		return false
+	}
+	return s.cfg.WorkersLimitRetries || s.cfg.RetryBudgets.Spend(f.callerClass())
+}
+
 // hasOtherUpstream reports whether there is an upstream that is not excluded beside the one
 // chosen for the latest attempt.
 func (s *Sender) hasOtherUpstream(f *sendState) bool {
--- a/core/zyegress/sender.go
+++ b/core/zyegress/sender.go
@@ -133,6 +133,8 @@
 	rejectedBy []zinniayoke.Upstream
 	// rejections counts the rejections.
 	rejections int
+	// failed is the reply with an error of a worker that was retried, nil if there is none.
+	failed *zinniayoke.Reply
 	// delivered is true once an attempt was delivered to a worker.
 	delivered bool
 	// exclusive is true for a request suspected of crashing workers, which may run
@@ -147,7 +149,7 @@
 	for {
 		reply := s.sendOnce(ctx, f)
 		f.recordReply(reply)
-		retry := reply.Outcome != zinniayoke.OutcomeDone && s.mayRetry(ctx, f, reply)
+		retry := s.mayRetry(ctx, f, reply)
 		s.cfg.Recorder.Record(&zinniayoke.Event{
 			Kind: zinniayoke.EventAttemptEnded, Request: f.Call.Request, Attempt: reply.Attempt, Route: f.Call.Route,
 			Service: f.Call.Service, Node: f.to.Node, Reason: reply.Reason, Outcome: reply.Outcome, Threshold: reply.Threshold,
@@ -177,13 +179,20 @@
 			f.rejectedBy = append(f.rejectedBy, f.to)
 		}
 	}
+	if reply.WorkerError {
+		f.failed = reply
+	}
 	f.delivered = f.delivered || reply.Delivered || reply.Outcome == zinniayoke.OutcomeUnknown
 	f.last = reply
 }
 
-// finalReply returns the last reply. Its outcome is unknown if the call was not run
+// finalReply returns the last reply, or the worker's error if no later attempt got a
+// response. Its outcome is unknown if the call was not run
 // by the last attempt but may have been run by an earlier one.
 func (f *sendState) finalReply() *zinniayoke.Reply {
+	if f.failed != nil && f.last.Outcome != zinniayoke.OutcomeDone {
+		return f.failed
+	}
 	reply := *f.last
 	if f.mayHaveRun && reply.Outcome == zinniayoke.OutcomeNotRun {
 		reply.Outcome = zinniayoke.OutcomeUnknown
--- a/core/zyegress/sender_test.go
+++ b/core/zyegress/sender_test.go
@@ -33,6 +33,10 @@
 	noRetry
 	// lost means that the worker may have run the call.
 	lost
+	// failed means that the worker responded with an error of its own.
+	failed
+	// failedBelow means that a call that the worker's run made has failed.
+	failedBelow
 )
 
 var errConnReset = errors.New("connection reset")
@@ -56,6 +60,9 @@
 	case done:
 		r.Outcome, r.Delivered = zinniayoke.OutcomeDone, true
 		r.Response = &zinniayoke.Response{Status: 200, Attempt: a.ID, Request: a.Request, Hash: 0xef46db3751d8e999}
+	case failed, failedBelow:
+		r.Outcome, r.Delivered, r.WorkerError = zinniayoke.OutcomeDone, true, kind == failed
+		r.Response = &zinniayoke.Response{Status: 500, Attempt: a.ID, Request: a.Request, Hash: 0xef46db3751d8e999}
 	case rejected:
 		r.Outcome, r.Reason, r.Delivered = zinniayoke.OutcomeNotRun, zinniayoke.ReasonShed, true
 	case limited:
@@ -208,3 +215,42 @@
 		t.Errorf("%d attempts, want the second one without a refusal elsewhere", len(peers.attempts))
 	}
 }
+
+// TestRetriesErrorsOfWorkers has a worker respond with an error. If the bundle asks for it
+// and the call may be repeated, another worker gets it; if that one does not run it, the
+// client must get the response of the first.
+func TestRetriesErrorsOfWorkers(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		retryErrors bool
+		neverRepeat bool
+		replies     []reply
+		sends       int
+		status      int
+	}{
+		{"retried", true, false, []reply{failed, done}, 2, 200},
+		{"not asked for", false, false, []reply{failed, done}, 1, 500},
+		{"must not be repeated", true, true, []reply{failed, done}, 1, 500},
+		{"a call of the run failed", true, false, []reply{failedBelow, done}, 1, 500},
+		{"two workers fail", true, false, []reply{failed, failed, done}, 2, 500},
+		{"no retry left", true, false, []reply{failed, noRetry}, 2, 500},
+		{"the retry is lost", true, false, []reply{failed, lost}, 2, 500},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			peers, workers := &fakePeers{replies: c.replies}, upstreams(5)
+			s := zyegress.New(zyegress.Config{
+				Peers: peers, Resolver: workers, Thresholds: zythreshold.New(), RetryBudgets: zyattempt.NewCallerRetryBudgets(),
+				Quarantine: zyquarantine.New(zyquarantine.Config{MaxRecords: 10}), Meter: nopMeter{}, WorkersLimitRetries: true,
+				Bundle: func() *zybundle.Bundle { return &zybundle.Bundle{RetryErrors: c.retryErrors} },
+				Picker: zybalancer.New(zybalancer.Config{Resolver: workers, Random: rand.New(rand.NewPCG(1, 1))}),
+			})
+			got := s.Send(context.Background(), zyegress.SendParams{
+				Call:  &zinniayoke.Call{Request: "r", Service: "s", Deadline: time.Now().Add(time.Minute)},
+				Route: &zybundle.Route{NeverRepeat: c.neverRepeat, Attempts: 2}, Budget: zyattempt.NewBudget(2, 1),
+			})
+			if len(peers.sentTo) != c.sends || got.Response == nil || got.Response.Status != c.status {
+				t.Errorf("sent %d times, response %+v; want %d times and status %d", len(peers.sentTo), got.Response, c.sends, c.status)
+			}
+		})
+	}
+}
--- a/core/zyingress/receiver.go
+++ b/core/zyingress/receiver.go
@@ -101,6 +101,9 @@
 	// rejectRate is the moving average of the share of delivered calls that the
 	// worker refuses.
 	rejectRate float64
+	// errorRate is the moving average of the share of calls to which the worker responds
+	// with an error of its own.
+	errorRate float64
 	calls      map[zinniayoke.AttemptID]*activeCall
 	// exclusive is the suspected call that runs without any other call, or nil.
 	exclusive *activeCall
@@ -205,7 +208,9 @@
 	reply.Delivered = delivered
 	if reply.Response != nil && reply.Response.Status >= http.StatusInternalServerError {
 		reply.Detail = r.cfg.Parents.FailureCause(time.Now(), parent)
+		reply.WorkerError = reply.Detail == "" && reply.Response.Status == http.StatusInternalServerError
 	}
+	r.updateErrorRate(delivered && reply.WorkerError)
 	r.updateRejectRate(delivered && reply.Outcome == zinniayoke.OutcomeNotRun)
 	reply.Unused = parent.Budget.Close()
 	if r.cfg.Graph == nil {
--- a/core/zyingress/receiver_test.go
+++ b/core/zyingress/receiver_test.go
@@ -1,6 +1,7 @@
 package zyingress_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -33,6 +34,8 @@
 	crash         chan struct{}
 	// notice is what the worker says in its responses, times is when it got each call.
 	notice zinniayoke.WorkerNotice
+	// status is the status of its responses; 0 means 200.
+	status int
 	times  []time.Time
 }
 
@@ -64,10 +67,10 @@
 	select {
 	case <-time.After(w.serviceTime):
 		w.mu.Lock()
-		notice := w.notice
+		notice, status := w.notice, cmp.Or(w.status, 200)
 		w.mu.Unlock()
 		call.OnNotice(notice, nil)
-		return &zinniayoke.Response{Status: 200, Body: call.Attempt.Body}, true, nil
+		return &zinniayoke.Response{Status: status, Body: call.Attempt.Body}, true, nil
 	case <-crash:
 		return nil, true, errConnReset
 	case <-ctx.Done():
@@ -355,3 +358,25 @@
 		}
 	})
 }
+
+// TestErrorsOfWorkerRaiseItsLoad has a worker respond with errors while its health check is
+// good. Its node must report them and a load at which senders prefer other workers, but only
+// if the bundle asks for it.
+func TestErrorsOfWorkerRaiseItsLoad(t *testing.T) {
+	for _, retryErrors := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			bundle := &zybundle.Bundle{QuarantineFor: time.Minute, RetryErrors: retryErrors}
+			h := newHarness(10, func(cfg *zyingress.Config) { cfg.Bundle = func() *zybundle.Bundle { return bundle } })
+			defer h.stop()
+			h.worker.status = 500
+			var reply *zinniayoke.Reply
+			for range 10 {
+				reply = h.run("x")
+			}
+			const full = 100
+			if !reply.WorkerError || (reply.Load > full) != retryErrors {
+				t.Errorf("retryErrors %t: error of the worker %t, load %d%%", retryErrors, reply.WorkerError, reply.Load)
+			}
+		})
+	}
+}
--- a/core/zyingress/reply.go
+++ b/core/zyingress/reply.go
@@ -87,6 +87,21 @@
 	r.rejectRate += rejectWeight * (hit - r.rejectRate)
 }
 
+// updateErrorRate records whether the worker responded with an error of its own. Errors
+// raise the reported load like refusals, so that senders prefer other workers.
+func (r *Receiver) updateErrorRate(failed bool) {
+	if b := r.cfg.Bundle(); b == nil || !b.RetryErrors {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	hit := 0.0
+	if failed {
+		hit = 1
+	}
+	r.errorRate += rejectWeight * (hit - r.errorRate)
+}
+
 // newReply returns a reply that carries the load of the worker and either its
 // threshold or its service costs.
 func (r *Receiver) newReply(a *zinniayoke.Attempt) *zinniayoke.Reply {
@@ -101,7 +116,7 @@
 		} else {
 			reply.Threshold = r.queue.Threshold()
 		}
-		reply.Load = int(percent * (r.queue.Load(time.Now()) + rejectLoadFactor*r.rejectRate))
+		reply.Load = int(percent * (r.queue.Load(time.Now()) + rejectLoadFactor*(r.rejectRate+r.errorRate)))
 	}
 	return reply
 }
--- a/message.go
+++ b/message.go
@@ -161,6 +161,9 @@
 	// Delivered is true if the attempt was delivered to the worker, even if the worker
 	// refused it.
 	Delivered bool `codec:"hd"`
+	// WorkerError is true if the response is a server error of the worker itself: no call
+	// that its run made is known to have failed.
+	WorkerError bool `codec:"we"`
 	// CalledByWorkers is true if the worker's node has observed that the route is called
 	// by workers and not by clients, and that the sender's service is one of those that
 	// call it.
