--- a/core/zyingress/receiver.go
+++ b/core/zyingress/receiver.go
@@ -104,7 +104,7 @@
 	// errorRate is the moving average of the share of calls to which the worker responds
 	// with an error of its own.
 	errorRate float64
-	calls      map[zinniayoke.AttemptID]*activeCall
+	calls     map[zinniayoke.AttemptID]*activeCall
 	// exclusive is the suspected call that runs without any other call, or nil.
 	exclusive *activeCall
 	idle      chan struct{}
