core/zybundle: customers in the product's bundle format

Cause: only the platform's adapter could define customers, so the product's own bundles had none. A configuration with an empty key gave its customer all requests without a key, and Importance was not usable in parsed bundles, whose lists of priorities were empty. Change: [customer NAME] with keyHashes, priority, rate and burst, public on routes, evenLoad in [bundle]; each problem names file and line. Names that would change in a header and digests of an empty key are rejected. More than 128 steps of importance are compressed instead of all ending at 0. A customer's key authenticates a request without a caller's token.

--- a/core/zybundle/bundle.go
+++ b/core/zybundle/bundle.go
@@ -182,15 +182,18 @@
 
 // Authenticate returns the caller with the given token. Without a token it returns
 // the caller named by claimed, if the bundle allows anonymous callers or the
-// caller is defined without a token. The error is a *zinniayoke.CallError.
+// caller is defined without a token. In a bundle with customers the token may be the key of
+// a customer instead, which allows a request without a caller; a token that is neither
+// counts as none, because public routes need no key. The error is a *zinniayoke.CallError.
 func (b *Bundle) Authenticate(token, claimed string) (Caller, error) {
 	if token != "" {
 		sum := sha256.Sum256([]byte(token))
-		name, ok := b.callersByTokenHash[hex.EncodeToString(sum[:])]
-		if !ok {
+		if name, ok := b.callersByTokenHash[hex.EncodeToString(sum[:])]; ok {
+			return b.Callers[name], nil
+		}
+		if len(b.Customers) == 0 {
 			return Caller{}, zinniayoke.NewRefusedError(zinniayoke.ReasonToken, "the token belongs to no caller of the bundle")
 		}
-		return b.Callers[name], nil
 	}
 	caller, ok := b.Callers[zinniayoke.Caller(claimed)]
 	if ok && caller.TokenHash != "" {
@@ -199,6 +202,9 @@
 	if ok {
 		return caller, nil
 	}
+	if _, known := b.CustomerOf(token); known && !b.Anonymous {
+		return Caller{Home: b.DefaultHome, MovedFrom: b.DefaultMovedFrom}, nil
+	}
 	if !b.Anonymous {
 		return Caller{}, zinniayoke.NewRefusedError(zinniayoke.ReasonToken, "a token is required")
 	}
--- a/core/zybundle/compose.go
+++ b/core/zybundle/compose.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"strings"
 	"time"
 
 	"zinniayoke"
@@ -71,7 +72,8 @@
 	}
 	for _, customer := range c.Customers {
 		if problem := b.addCustomer(customer); problem != nil {
-			return nil, &CompositionError{Part: "customer " + string(customer.Name), Found: problem.found, Accepted: problem.accepted}
+			found := strings.TrimSpace(problem.key + " " + problem.found)
+			return nil, &CompositionError{Part: "customer " + string(customer.Name), Found: found, Accepted: problem.accepted}
 		}
 	}
 	b.orderImportances()
--- a/core/zybundle/customer.go
+++ b/core/zybundle/customer.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math"
 	"slices"
+	"strconv"
+	"strings"
 
 	"zinniayoke"
 	"zinniayoke/core/zyrank"
@@ -33,6 +35,9 @@
 
 // CustomerOf returns the customer that holds the key.
 func (b *Bundle) CustomerOf(key string) (Customer, bool) {
+	if key == "" {
+		return Customer{}, false
+	}
 	// The key is looked up by its digest, so that the time taken says nothing about how
 	// much of a guessed key is right.
 	name, ok := b.customersByKey[HashKey(key)]
@@ -42,30 +47,25 @@
 	return b.Customers[name], true
 }
 
-// customerProblem describes an invalid customer: what was found, and what is accepted.
+// customerProblem describes an invalid customer: the key of its section, "" for the name,
+// what was found, and what is accepted.
 type customerProblem struct {
+	key      string
 	found    string
 	accepted string
 }
 
 // addCustomer adds a customer to the bundle, or returns why it is invalid.
 func (b *Bundle) addCustomer(c Customer) *customerProblem {
-	limit := c.Limit
-	switch {
-	case c.Name == "":
-		return &customerProblem{found: "no name", accepted: "a name"}
-	case limit.Rate < 0 || math.IsNaN(float64(limit.Rate)) || math.IsInf(float64(limit.Rate), 0):
-		return &customerProblem{found: fmt.Sprintf("rate %g", limit.Rate), accepted: "requests per second, 0 for no limit"}
-	case limit.Burst < 0 || math.IsNaN(limit.Burst) || math.IsInf(limit.Burst, 0):
-		return &customerProblem{found: fmt.Sprintf("burst %g", limit.Burst), accepted: "a number of requests of 0 or more"}
-	case limit.Rate == 0 && limit.Burst > 0:
-		return &customerProblem{found: fmt.Sprintf("burst %g without a rate", limit.Burst), accepted: "a rate above 0 for a customer with a burst"}
-	case c.Priority < 0:
-		return &customerProblem{found: fmt.Sprintf("priority %d", c.Priority), accepted: "a whole number of 0 or more"}
+	if problem := c.problem(); problem != nil {
+		return problem
+	}
+	if _, ok := b.Customers[c.Name]; ok {
+		return &customerProblem{found: "a second customer with the name", accepted: "one customer with this name"}
 	}
 	for _, key := range c.KeyHashes {
 		if other, ok := b.customersByKey[key]; ok {
-			return &customerProblem{found: "a key of customer " + string(other), accepted: "different keys for each customer"}
+			return &customerProblem{key: "keyHashes", found: "a key of customer " + string(other), accepted: "different keys for each customer"}
 		}
 	}
 	for _, key := range c.KeyHashes {
@@ -76,6 +76,38 @@
 	return nil
 }
 
+// problem returns why the customer by itself is invalid, nil if it is not.
+func (c *Customer) problem() *customerProblem {
+	rate, burst := float64(c.Limit.Rate), c.Limit.Burst
+	switch {
+	case !isHeaderValue(string(c.Name)):
+		return &customerProblem{found: fmt.Sprintf("name %q", c.Name), accepted: "a name without control characters and surrounding spaces"}
+	case !isAmount(rate):
+		return &customerProblem{key: "rate", found: fmt.Sprintf("%g", rate), accepted: "requests per second, 0 for no limit"}
+	case !isAmount(burst):
+		return &customerProblem{key: "burst", found: fmt.Sprintf("%g", burst), accepted: "a number of requests of 0 or more"}
+	case rate == 0 && burst > 0:
+		return &customerProblem{key: "burst", found: fmt.Sprintf("%g without a rate", burst), accepted: "a rate above 0 for a customer with a burst"}
+	case c.Priority < 0:
+		return &customerProblem{key: "priority", found: strconv.Itoa(c.Priority), accepted: "a whole number of 0 or more"}
+	case slices.Contains(c.KeyHashes, HashKey("")):
+		// Requests without a key would belong to the customer.
+		return &customerProblem{key: "keyHashes", found: "the digest of an empty key", accepted: "digests of keys"}
+	}
+	return nil
+}
+
+// isAmount reports whether n is a finite number of 0 or more.
+func isAmount(n float64) bool {
+	return n >= 0 && !math.IsInf(n, 1)
+}
+
+// isHeaderValue reports whether workers get the name unchanged in a header.
+func isHeaderValue(name string) bool {
+	isControl := func(r rune) bool { return r < ' ' || r == 0x7f }
+	return name != "" && strings.Trim(name, " ") == name && !strings.ContainsFunc(name, isControl)
+}
+
 // Importance returns the importance of a root request. In a bundle with customers the
 // priority of the customer takes precedence over the class of the route; a request
 // without a customer ranks as one of the highest priority.
@@ -87,8 +119,11 @@
 	if customer, ok := b.Customers[c]; ok {
 		level = slices.Index(b.customerPriorities, customer.Priority)
 	}
-	step := slices.Index(b.classImportances, r.Class.Importance)
-	return max(zyrank.MaxRootImportance-level*len(b.classImportances)-step, 0)
+	step := level*len(b.classImportances) + slices.Index(b.classImportances, r.Class.Importance)
+	if last := len(b.customerPriorities)*len(b.classImportances) - 1; last > zyrank.MaxRootImportance {
+		step = step * zyrank.MaxRootImportance / last // Neighbouring steps share an importance.
+	}
+	return zyrank.MaxRootImportance - step
 }
 
 // orderImportances collects the priorities of customers and the importances of classes,
--- a/core/zybundle/parse.go
+++ b/core/zybundle/parse.go
@@ -20,6 +20,7 @@
 const (
 	maxImportance = 255
 	maxUrgency    = 15
+	maxPriority   = 255
 	maxAttempts   = 1000
 	maxApprovals  = 16
 	// minWindow and maxWindow limit keyWindow and quarantineFor.
@@ -43,6 +44,10 @@
 	b := newBundle(text)
 	hasBundleSection := false
 	for _, s := range file.Sections() {
+		if s.Kind != "bundle" && s.Name == "" {
+			s.RejectHeader("no name", "["+s.Kind+" name]")
+			continue
+		}
 		hasBundleSection = b.readSection(s) || hasBundleSection
 		s.RejectUnknownKeys()
 	}
@@ -53,6 +58,7 @@
 	if err := file.Err(); err != nil {
 		return nil, err
 	}
+	b.orderImportances()
 	return b, nil
 }
 
@@ -78,10 +84,6 @@
 
 // readSection reads a section and reports whether it is the [bundle] section.
 func (b *Bundle) readSection(s *zyini.Section) bool {
-	if s.Kind != "bundle" && s.Name == "" {
-		s.RejectHeader("no name", "["+s.Kind+" name]")
-		return false
-	}
 	switch s.Kind {
 	case "bundle":
 		b.readBundleSection(s)
@@ -95,6 +97,8 @@
 		b.Classes[zinniayoke.ClassName(s.Name)] = Class{Name: zinniayoke.ClassName(s.Name), Importance: importance}
 	case "caller":
 		b.readCaller(s)
+	case "customer":
+		b.readCustomer(s)
 	case "service":
 		b.readService(s)
 	case "route":
@@ -105,7 +109,7 @@
 		b.readRelease(s)
 	default:
 		s.RejectHeader("an unknown section",
-			"bundle, domain, approver, class, caller, service, route, link, release")
+			"bundle, domain, approver, class, caller, customer, service, route, link, release")
 	}
 	return false
 }
@@ -118,6 +122,7 @@
 	b.Anonymous = zyini.Get(s, "anonymous", zyini.Bool(), false)
 	b.KeyWindow = zyini.Get(s, "keyWindow", zyini.Duration(minWindow, maxWindow), defaultKeyWindow)
 	b.QuarantineFor = zyini.Get(s, "quarantineFor", zyini.Duration(minWindow, maxWindow), defaultQuarantine)
+	b.EvenLoad = zyini.Get(s, "evenLoad", zyini.Bool(), false)
 }
 
 func (b *Bundle) readCaller(s *zyini.Section) {
@@ -136,6 +141,33 @@
 	b.Callers[c.Name] = c
 }
 
+func (b *Bundle) readCustomer(s *zyini.Section) {
+	c := Customer{Name: zinniayoke.Customer(s.Name)}
+	for _, sum := range zyini.Get(s, "keyHashes", zyini.List(zyini.HexBytes(sha256.Size)), nil) {
+		c.KeyHashes = append(c.KeyHashes, KeyHash(sum))
+	}
+	c.Priority = zyini.Get(s, "priority", zyini.Integer(0, maxPriority), 0)
+	const invalid = -1
+	rate := zyini.Get(s, "rate", zyini.RateLimit(), invalid)
+	c.Limit.Burst = zyini.Get(s, "burst", zyini.Float(math.MaxInt32), 0)
+	c.Limit.Rate = zinniayoke.Rate(max(rate, 0))
+	if rate == invalid && s.Has("rate") {
+		c.Limit.Burst = 0 // Else the problem of the rate would be reported twice.
+	}
+	if !zyini.IsName(s.Name) {
+		s.RejectHeader(fmt.Sprintf("%q", s.Name), "[customer name] with a name of "+zyini.Name[string]().Accepted)
+		return
+	}
+	problem := b.addCustomer(c)
+	switch {
+	case problem == nil:
+	case problem.key == "":
+		s.RejectHeader(problem.found, problem.accepted)
+	default:
+		s.RejectKey(problem.key, problem.found, problem.accepted)
+	}
+}
+
 func (b *Bundle) readService(s *zyini.Section) {
 	b.Services[zinniayoke.Service(s.Name)] = Service{
 		Name:      zinniayoke.Service(s.Name),
@@ -158,6 +190,7 @@
 	r.ChildCalls = zyini.Get(s, "calls", zyini.Integer[zinniayoke.Tokens](0, maxAttempts), 0)
 	r.RetryBudget = zyini.Get(s, "retryBudget", zyini.Percent(), 0)
 	r.NeverRepeat = zyini.Get(s, "neverRepeat", zyini.Bool(), false)
+	r.Public = zyini.Get(s, "public", zyini.Bool(), false)
 	r.Timeout = zyini.Get(s, "timeout", zyini.Duration(time.Millisecond, maxTimeout), defaultTimeout)
 	r.Objective = zyini.Get(s, "objective", zyini.Duration(time.Millisecond, maxTimeout), 0)
 	r.MaxBody = zyini.Get(s, "maxBody", zyini.Size(0, maxBodySize), defaultMaxBody)
--- a/core/zyini/value.go
+++ b/core/zyini/value.go
@@ -147,6 +147,14 @@
 	}
 }
 
+// RateLimit accepts calls per second, such as 50/s, and 0/s for no limit.
+func RateLimit() ValueType[float64] {
+	return ValueType[float64]{
+		Parse:    func(text string) (float64, bool) { return parseUnit(text, []unit{{"/s", 1}}) },
+		Accepted: "calls per second of 0 or more, such as 50/s; 0/s is no limit",
+	}
+}
+
 // Percent accepts 0% to 100% and returns a fraction from 0 to 1.
 func Percent() ValueType[float64] {
 	const hundred = 100
