core/zyentry: the bundle of the decision strips the key; idempotency keys per customer

Cause: the handler removed Authorization by the bundle at arrival, the entry decided by the one after the body was read. With the first version that has customers in between, the key reached the worker and a valid key got 401. Customers that share a caller shared its idempotency keys, so one could get the response of another. Change: the entry removes the header, by the bundle that it decides with. The customer is part of the idempotency key. A refused request carries the name of its route. Result: go test ./core/zyentry passes; mutations of the header, the idempotency key, the child call and the returned permission are caught.

--- a/core/zyentry/filter.go
+++ b/core/zyentry/filter.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -64,6 +65,7 @@
 			return nil, fmt.Errorf("find route: %w", err)
 		}
 		cs.route = route
+		cs.call.Route = route.Name
 		if zinniayoke.Bytes(len(cs.in.Body)) > route.MaxBody {
 			return nil, zinniayoke.NewRefusedError(zinniayoke.ReasonTooLarge, fmt.Sprintf("the route takes at most %d bytes", route.MaxBody))
 		}
@@ -119,6 +121,11 @@
 		c.Query = cs.in.HTTP.URL.RawQuery
 	}
 	c.Headers = cs.in.Headers
+	if len(cs.bundle.Customers) > 0 {
+		// This bundle decides, not the one that was in force when the request arrived: the
+		// key must not pass with the first version that has customers.
+		c.Headers = slices.DeleteFunc(c.Headers, func(h zinniayoke.Header) bool { return h.Name == "Authorization" })
+	}
 	c.Body = cs.in.Body
 	c.BodyHash = uint64(zyquarantine.FingerprintOf(c.Service, c.Method, c.Path, c.Query, c.Body))
 	if cs.parent == nil {
@@ -181,6 +188,10 @@
 			c.KeyFromCaller = true
 		case cs.in.Key != "":
 			c.Key = zinniayoke.Key(string(c.Caller) + "\x00" + string(c.Route) + "\x00" + cs.in.Key)
+			if c.Customer != "" {
+				// Customers may share a caller. One must not get the response of another.
+				c.Key += zinniayoke.Key("\x00" + string(c.Customer))
+			}
 			c.KeyFromCaller = true
 		}
 		return next(ctx, cs)
