--- a/io/zynode/adapters.go
+++ b/io/zynode/adapters.go
@@ -7,7 +7,6 @@
 
 	"zinniayoke"
 	"zinniayoke/core/zybundle"
-	"zinniayoke/core/zyentry"
 	"zinniayoke/core/zyingress"
 	"zinniayoke/io/zylog"
 	"zinniayoke/io/zyweb"
@@ -38,7 +37,7 @@
 
 // CallerHandlerConfig holds what the handler of the port for callers needs.
 type CallerHandlerConfig struct {
-	Entry  *zyentry.Entry
+	Entry  zyweb.CallHandler
 	Bundle func() *zybundle.Bundle
 	// Leaving reports whether the node is stopping.
 	Leaving func() bool
