io/zyweb, io/zyworker: customers on the product's own ports

Cause: the caller port knew only tokens of callers, and workers were not told the customer. Change: a bearer token that is a customer's key identifies the customer; the scheme is case-insensitive, two Authorization headers are refused, and a node without a bundle responds 503 instead of 401 to a header that it cannot read.

--- a/cmd/zinniayoke/key.go
+++ b/cmd/zinniayoke/key.go
@@ -26,7 +26,7 @@
 				Flags: []cli.Flag{&cli.StringFlag{Name: "out", Required: true, Usage: "file for the private key; must not exist yet"}},
 			},
 			{Name: "peer", Usage: "print a new shared key for the setting [peers] key", Action: newPeerKey},
-			{Name: "token", Usage: "print a new token for a caller and its tokenHash for the bundle", Action: newToken},
+			{Name: "token", Usage: "print a new token for a caller, or key of a customer, and its hash for the bundle", Action: newToken},
 		},
 	}
 }
--- a/io/zyweb/caller.go
+++ b/io/zyweb/caller.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -64,6 +65,9 @@
 
 func (p *callerHandler) call(c *gin.Context) {
 	in, err := parseCall(c)
+	if err != nil && p.cfg.Bundle != nil && p.cfg.Bundle() == nil {
+		err = zinniayoke.NewRefusedError(zinniayoke.ReasonNotReady, "no bundle is in force here yet")
+	}
 	if err != nil {
 		rejectCall(c, err)
 		return
@@ -93,7 +97,7 @@
 	if err != nil {
 		return nil, err
 	}
-	token, err := parseToken(c.GetHeader("Authorization"))
+	token, err := parseToken(c.Request.Header.Values("Authorization"))
 	if err != nil {
 		return nil, err
 	}
@@ -113,7 +117,7 @@
 		host = hostName(r.Host)
 	}
 	return &zyentry.Inbound{
-		Token: token, ClaimedCaller: c.GetHeader(CallerHeader), Key: c.GetHeader(KeyHeader),
+		Token: token, CustomerKey: token, ClaimedCaller: c.GetHeader(CallerHeader), Key: c.GetHeader(KeyHeader),
 		Context: c.GetHeader(zyworker.ContextHeader), Timeout: timeout,
 		Service: service, Host: host, HTTP: r,
 		Headers: zyworker.ForwardedHeaders(r.Header), Body: body,
@@ -139,15 +143,18 @@
 	return time.Duration(ms) * time.Millisecond, nil
 }
 
-func parseToken(text string) (string, error) {
-	const scheme = "Bearer "
-	if text == "" {
+// parseToken returns the token of a caller or the key of a customer. The name of the scheme
+// is case-insensitive.
+func parseToken(values []string) (string, error) {
+	if len(values) == 0 || len(values) == 1 && values[0] == "" {
 		return "", nil
 	}
-	if len(text) <= len(scheme) || text[:len(scheme)] != scheme {
+	scheme, token, _ := strings.Cut(values[0], " ")
+	token = strings.Trim(token, " ")
+	if len(values) > 1 || !strings.EqualFold(scheme, "Bearer") || token == "" {
 		return "", zinniayoke.NewRefusedError(zinniayoke.ReasonToken, "Authorization takes Bearer and a token")
 	}
-	return text[len(scheme):], nil
+	return token, nil
 }
 
 // ErrorResponse is the body of the HTTP response to a call that has no response of a
--- a/io/zyweb/caller_test.go
+++ b/io/zyweb/caller_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"zinniayoke"
+	"zinniayoke/core/zybundle"
 	"zinniayoke/core/zyentry"
 	"zinniayoke/io/zyweb"
 )
@@ -64,6 +65,38 @@
 	}
 }
 
+// TestTokenOrKey checks the forms of Authorization. A node without a bundle must not respond
+// 401, since it knows no keys.
+func TestTokenOrKey(t *testing.T) {
+	for _, c := range []struct {
+		values []string
+		want   string
+		status int
+	}{
+		{[]string{"Bearer K1"}, "K1", 200},
+		{[]string{"bearer K1"}, "K1", 200},
+		{[]string{"Bearer  K1 "}, "K1", 200},
+		{nil, "", 200},
+		{[]string{"Bearer K1", "Bearer K1"}, "", 401},
+		{[]string{"Basic K1"}, "", 401},
+	} {
+		e := &fakeEntry{reply: &zinniayoke.Reply{Outcome: zinniayoke.OutcomeDone, Response: &zinniayoke.Response{Status: http.StatusOK}}}
+		r := httptest.NewRequest(http.MethodGet, "/call/s/x", http.NoBody)
+		r.Header["Authorization"] = c.values
+		r.Header.Set("Zinniayoke-Customer", "forged")
+		w := httptest.NewRecorder()
+		zyweb.NewCallerHandler(zyweb.CallerConfig{Entry: e}).ServeHTTP(w, r)
+		if w.Code != c.status || c.status == 200 && (e.in.CustomerKey != c.want || e.in.Token != c.want || len(e.in.Headers) > 0) {
+			t.Errorf("%q: status %d, inbound call %+v", c.values, w.Code, e.in)
+		}
+		w = httptest.NewRecorder()
+		zyweb.NewCallerHandler(zyweb.CallerConfig{Entry: e, Bundle: func() *zybundle.Bundle { return nil }}).ServeHTTP(w, r)
+		if w.Code == http.StatusUnauthorized {
+			t.Errorf("%q: a node without a bundle responds 401", c.values)
+		}
+	}
+}
+
 func TestCallsByHost(t *testing.T) {
 	e := &fakeEntry{reply: &zinniayoke.Reply{Outcome: zinniayoke.OutcomeDone, Response: &zinniayoke.Response{Status: http.StatusOK}}}
 	for _, c := range []struct{ target, host, path string }{
--- a/io/zyworker/worker.go
+++ b/io/zyworker/worker.go
@@ -38,6 +38,9 @@
 	ContextHeader = "Zinniayoke-Context"
 	TimeoutHeader = "Zinniayoke-Timeout"
 	KeyHeader     = "Zinniayoke-Key"
+	// CustomerHeader names the customer whose key the request carried. It is absent if
+	// there is none.
+	CustomerHeader = "Zinniayoke-Customer"
 )
 
 // Headers by which a worker says something about itself in its responses.
@@ -121,6 +124,9 @@
 	}
 	req.Header.Set(ContextHeader, call.Context)
 	req.Header.Set(TimeoutHeader, strconv.FormatInt(call.Timeout.Milliseconds(), 10))
+	if a.Customer != "" {
+		req.Header.Set(CustomerHeader, string(a.Customer))
+	}
 	if a.Key != "" {
 		req.Header.Set(KeyHeader, fmt.Sprintf("%x", string(a.Key)))
 	}
--- a/io/zyworker/worker_test.go
+++ b/io/zyworker/worker_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -50,3 +51,22 @@
 		server.Close()
 	}
 }
+
+// TestCustomerHeader checks that the worker gets the name of the customer, and no header if
+// there is none.
+func TestCustomerHeader(t *testing.T) {
+	var got []string
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { got = r.Header["Zinniayoke-Customer"] }))
+	defer server.Close()
+	w := zyworker.New(zyworker.Config{Address: strings.TrimPrefix(server.URL, "http://"), MaxConnections: 1})
+	defer w.Close()
+	for customer, want := range map[zinniayoke.Customer][]string{"mill": {"mill"}, "": nil} {
+		a := &zinniayoke.Attempt{Method: http.MethodGet, Path: "/", Customer: customer}
+		if _, _, err := w.Run(context.Background(), &zinniayoke.WorkerCall{Attempt: a, Timeout: time.Second}); err != nil {
+			t.Fatal(err)
+		}
+		if !slices.Equal(got, want) {
+			t.Errorf("customer %q: the worker gets %q, want %q", customer, got, want)
+		}
+	}
+}
