core/zytopk, io/zymetric, core/zyexplain: refusals by customer

Cause: metrics and logs did not say which customer was refused, so a complaint about 401 or 429 had no path to its cause.

--- a/cmd/zinniayoke/explain.go
+++ b/cmd/zinniayoke/explain.go
@@ -103,6 +103,7 @@
 	}
 	add("call", l.Request, l.Parent != "")
 	add("service", l.Service, l.Service != "")
+	add("customer", l.Customer, l.Customer != "")
 	add("node", l.Node, l.Node != "")
 	add("instance", l.Instance, l.Instance != "")
 	add("outcome", l.Outcome, l.Outcome != "")
--- a/core/zybundle/customer_test.go
+++ b/core/zybundle/customer_test.go
@@ -226,3 +226,18 @@
 		t.Errorf("in a parsed bundle priority 1 has importance %d, priority 0 has %d", mill, forge)
 	}
 }
+
+// BenchmarkCustomerOf measures the check of a key, which may take part of 2 us a request.
+func BenchmarkCustomerOf(b *testing.B) {
+	c := zybundle.Composition{Version: 1}
+	for i := range 82 {
+		c.Customers = append(c.Customers, zybundle.Customer{Name: zinniayoke.Customer(fmt.Sprint(i)), KeyHashes: []zybundle.KeyHash{zybundle.HashKey(fmt.Sprint("a-key-of-usual-length-", i))}})
+	}
+	bundle, err := zybundle.Compose(c)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		bundle.CustomerOf("a-key-of-usual-length-7")
+	}
+}
--- a/core/zyegress/sender.go
+++ b/core/zyegress/sender.go
@@ -150,7 +150,7 @@
 		retry := reply.Outcome != zinniayoke.OutcomeDone && s.mayRetry(ctx, f, reply)
 		s.cfg.Recorder.Record(&zinniayoke.Event{
 			Kind: zinniayoke.EventAttemptEnded, Request: f.Call.Request, Attempt: reply.Attempt, Route: f.Call.Route,
-			Service: f.Call.Service, Node: f.to.Node, Reason: reply.Reason, Outcome: reply.Outcome, Threshold: reply.Threshold,
+			Service: f.Call.Service, Customer: f.Call.Customer, Node: f.to.Node, Reason: reply.Reason, Outcome: reply.Outcome, Threshold: reply.Threshold,
 			TimeLeft: time.Until(f.Call.Deadline), WillRetry: retry, Detail: reply.Detail,
 		})
 		if !retry {
--- a/core/zyentry/customer_test.go
+++ b/core/zyentry/customer_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -159,6 +160,13 @@
 			if reply.Reason != c.reason || c.over && c.taken > 0 && reply.RetryAfter != time.Minute {
 				t.Errorf("reason %s, retry after %s, want %s", reply.Reason, reply.RetryAfter, c.reason)
 			}
+			route := zinniayoke.RouteName(strings.Trim(c.path, "/"))
+			if c.reason == zinniayoke.ReasonNoRoute {
+				route = ""
+			}
+			if n.sample.Customer != c.customer || n.event.Customer != c.customer || n.event.Reason != c.reason || n.event.Route != route {
+				t.Errorf("sample %+v, event %+v, want customer %q, route %q", n.sample, n.event, c.customer, route)
+			}
 			if n.taken != c.taken || n.returned != c.returned || c.taken > 0 && n.limit.Customer != c.customer {
 				t.Errorf("%d permissions of %+v taken, %d returned; want %d, %d", n.taken, n.limit, n.returned, c.taken, c.returned)
 			}
--- a/core/zyentry/entry.go
+++ b/core/zyentry/entry.go
@@ -177,7 +177,7 @@
 // recordEnd records the event that the call has ended.
 func (e *Entry) recordEnd(cs *callState, reply *zinniayoke.Reply, duration time.Duration) {
 	event := &zinniayoke.Event{
-		Kind: zinniayoke.EventCallEnded, Request: cs.call.Request, Route: cs.call.Route, Service: cs.call.Service,
+		Kind: zinniayoke.EventCallEnded, Request: cs.call.Request, Route: cs.call.Route, Service: cs.call.Service, Customer: cs.call.Customer,
 		Reason: reply.Reason, Outcome: reply.Outcome, Version: cs.call.Version, Rank: cs.call.Rank, Depth: cs.call.Depth,
 		Threshold: cs.threshold, Duration: duration, Detail: reply.Detail,
 	}
@@ -198,7 +198,7 @@
 
 func sampleOf(cs *callState, reply *zinniayoke.Reply, duration time.Duration) zinniayoke.CallSample {
 	s := zinniayoke.CallSample{
-		Caller: cs.call.Caller, Outcome: reply.Outcome, Reason: reply.Reason, Duration: duration, Child: cs.parent != nil,
+		Caller: cs.call.Caller, Customer: cs.call.Customer, Outcome: reply.Outcome, Reason: reply.Reason, Duration: duration, Child: cs.parent != nil,
 	}
 	if cs.route != nil {
 		s.Class = cs.route.Class.Name
--- a/core/zyexplain/explanation.go
+++ b/core/zyexplain/explanation.go
@@ -24,6 +24,7 @@
 	Attempt     string    `json:"attempt"`
 	Route       string    `json:"route"`
 	Service     string    `json:"service"`
+	Customer    string    `json:"customer"`
 	Node        string    `json:"node"`
 	Instance    string    `json:"instance"`
 	Outcome     string    `json:"outcome"`
@@ -191,16 +192,22 @@
 	}
 	text := ended.Detail
 	switch ended.Reason {
+	case "token":
+		return fmt.Sprintf("Refused with 401 by %s (outcome %s), on route %s with version %d of the bundle: %s.",
+			ended.Source, ended.Outcome, ended.Route, ended.Version, text)
+	case "callerLimit":
+		return fmt.Sprintf("Refused with 429 by %s (outcome %s), on route %s with version %d of the bundle%s: %s.",
+			ended.Source, ended.Outcome, ended.Route, ended.Version, describeCustomer(ended), text)
 	case "noRoute":
 		return fmt.Sprintf("Refused: %s, in version %d of the bundle.", text, ended.Version)
 	case "notReady":
 		return "Refused: " + text + "."
 	case "shed":
 		if refused != nil {
-			return fmt.Sprintf("Refused, not run: the admission queue of %s had %d of %d slots in use and %d calls waiting%s.",
-				instanceName(refused), refused.Running, refused.Limit, refused.Waiting, describeRateLimit(refused))
+			return fmt.Sprintf("Refused, not run: the admission queue of %s had %d of %d slots in use and %d calls waiting%s%s.",
+				instanceName(refused), refused.Running, refused.Limit, refused.Waiting, describeRateLimit(refused), describeCustomer(ended))
 		}
-		return fmt.Sprintf("Refused at its entry node, not run: %s.", text)
+		return fmt.Sprintf("Refused at its entry node, not run: %s%s.", text, describeCustomer(ended))
 	case "deadline":
 		if ended.Outcome == "notRun" {
 			return fmt.Sprintf("The deadline passed after %s before a worker had a free slot; the request was not run.", duration)
@@ -211,7 +218,15 @@
 	case "answerLost":
 		return fmt.Sprintf("The request was delivered to worker %s, but the complete response did not come back: %s.", instanceName(run), text)
 	}
-	return fmt.Sprintf("The request ended %s because of %s: %s.", ended.Outcome, reasonOrResponse(ended.Reason), text)
+	return fmt.Sprintf("The request ended %s because of %s: %s%s.", ended.Outcome, reasonOrResponse(ended.Reason), text, describeCustomer(ended))
+}
+
+// describeCustomer returns the customer of the line, and "" if it has none.
+func describeCustomer(l *Line) string {
+	if l.Customer == "" {
+		return ""
+	}
+	return "; customer " + l.Customer
 }
 
 // describeRateLimit returns the rate that the worker of the line accepts, and "" if it
--- a/core/zyingress/reply.go
+++ b/core/zyingress/reply.go
@@ -17,7 +17,7 @@
 func (r *Receiver) record(kind zinniayoke.EventKind, c *activeCall, reply *zinniayoke.Reply) {
 	a := c.attempt
 	e := &zinniayoke.Event{
-		Kind: kind, Request: a.Request, Attempt: a.ID, Route: a.Route, Service: a.Service,
+		Kind: kind, Request: a.Request, Attempt: a.ID, Route: a.Route, Service: a.Service, Customer: a.Customer,
 		Reason: reply.Reason, Outcome: reply.Outcome, Rank: a.Rank, Threshold: reply.Threshold, Depth: a.Depth,
 		TimeLeft: a.Timeout - time.Since(c.arrived), Duration: time.Since(c.arrived), Detail: reply.Detail,
 	}
--- a/io/zylogger/eventlog.go
+++ b/io/zylogger/eventlog.go
@@ -122,6 +122,7 @@
 	b = appendString(b, "attempt", string(e.Attempt))
 	b = appendString(b, "route", string(e.Route))
 	b = appendString(b, "service", string(e.Service))
+	b = appendString(b, "customer", string(e.Customer))
 	b = appendString(b, "node", string(e.Node))
 	b = appendString(b, "instance", string(e.Instance))
 	if e.Request != "" {
--- a/io/zylogger/fields_test.go
+++ b/io/zylogger/fields_test.go
@@ -28,7 +28,7 @@
 	var out bytes.Buffer
 	rate := zinniayoke.Rate(1)
 	zylogger.NewEventLog(&out, func() int64 { return 0 }).Record(&zinniayoke.Event{
-		Kind: zinniayoke.EventCallEnded, Request: "r", Parent: "p", Attempt: "a", Route: "ro", Service: "s", Node: "n", Instance: "i",
+		Kind: zinniayoke.EventCallEnded, Request: "r", Parent: "p", Attempt: "a", Route: "ro", Service: "s", Customer: "c", Node: "n", Instance: "i",
 		Reason: zinniayoke.ReasonShed, Outcome: zinniayoke.OutcomeNotRun, Version: 1, Rank: 1, Threshold: 1, Depth: 1, Status: 1,
 		TimeLeft: time.Second, QueueTime: time.Second, Duration: time.Second, Limit: 1, Running: 1, Waiting: 1, RateLimit: &rate, DeliveryRate: 1, Leaving: true, WillRetry: true, Detail: "d",
 	})
@@ -36,6 +36,9 @@
 	if err := json.Unmarshal(out.Bytes(), &fields); err != nil {
 		t.Fatal(err)
 	}
+	if fields["customer"] != "c" {
+		t.Errorf("the line has the customer %v", fields["customer"])
+	}
 	for name := range fields {
 		if !documented[name] {
 			t.Errorf("field %s is not documented", name)
--- a/io/zymetric/meter.go
+++ b/io/zymetric/meter.go
@@ -3,6 +3,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -32,6 +33,7 @@
 	mismatches  prometheus.Counter
 	queueTime   *prometheus.HistogramVec
 	serviceTime *prometheus.HistogramVec
+	customers   *customerCounters
 	limit       prometheus.Gauge
 	running     prometheus.Gauge
 
@@ -66,6 +68,7 @@
 	m.outcomes = counter(cfg, "outcomes_total", "Calls by outcome.", "class", "outcome")
 	m.refusals = counter(cfg, "refusals_total", "Calls without an answer by reason.", "reason")
 	m.attempts = counter(cfg, "attempts_total", "Attempts sent by service.", "service")
+	m.customers = newCustomerCounters(cfg)
 	m.mismatches = prometheus.NewCounter(prometheus.CounterOpts{
 		Namespace: namespace, Name: "answers_dropped_total", Help: "Answers that were crossed, short or late.",
 	})
@@ -103,6 +106,9 @@
 	m.byClass.WithLabelValues(class, s.Outcome.String()).Observe(seconds)
 	if !s.Child {
 		m.byCaller.WithLabelValues(m.caller(s.Caller)).Observe(seconds)
+		if bundle := m.cfg.Bundle(); bundle != nil && len(bundle.Customers) > 0 {
+			m.customers.observe(time.Now(), s)
+		}
 	}
 	if s.Outcome == zinniayoke.OutcomeDone {
 		return
--- a/io/zynode/state.go
+++ b/io/zynode/state.go
@@ -33,6 +33,17 @@
 	CrashRecords []zyquarantine.CrashRecord `json:"suspects"`
 	Keys         KeyState                   `json:"keys"`
 	Control      ControlPlaneState          `json:"control"`
+	// Customers are those of the bundle in force.
+	Customers map[zinniayoke.Customer]CustomerState `json:"customers,omitempty"`
+}
+
+// CustomerState is what the bundle in force says of a customer.
+type CustomerState struct {
+	// Keys counts the keys that are accepted.
+	Keys     int             `json:"keys"`
+	Priority int             `json:"priority"`
+	Rate     zinniayoke.Rate `json:"rate"`
+	Burst    float64         `json:"burst"`
 }
 
 // KeyState counts the keys and attempts that the node has records of.
@@ -68,6 +79,10 @@
 	}
 	if bundle := n.bundle.Current(); bundle != nil {
 		s.Hash = bundle.Hash
+		s.Customers = make(map[zinniayoke.Customer]CustomerState, len(bundle.Customers))
+		for name, c := range bundle.Customers {
+			s.Customers[name] = CustomerState{Keys: len(c.KeyHashes), Priority: c.Priority, Rate: c.Limit.Rate, Burst: c.Limit.Burst}
+		}
 	}
 	if n.gossip != nil {
 		s.Control.BytesSent, s.Control.BytesReceived = n.gossip.ByteCounts()
--- a/journal.go
+++ b/journal.go
@@ -34,6 +34,9 @@
 	Attempt AttemptID
 	Route   RouteName
 	Service Service
+	// Customer is the customer whose key the request carried, "" if it carried none that is
+	// known.
+	Customer Customer
 	// Node is the remote node that the event is about.
 	Node     NodeID
 	Instance Instance
--- a/platform.go
+++ b/platform.go
@@ -95,7 +95,9 @@
 
 // CallSample describes a finished call at its entry node.
 type CallSample struct {
-	Caller   Caller
+	Caller Caller
+	// Customer is "" for requests without a customer.
+	Customer Customer
 	Class    ClassName
 	Outcome  Outcome
 	Reason   Reason
