core/zyquota, io/zynode, io/zypeer: limits of customers over all nodes

Cause: a customer's limit had an interface and no implementation, so no request was limited.

Change: each customer is owned by one node, chosen by rendezvous hashing over the hosts. The owner keeps the customer's token bucket and grants tokens to entry nodes in leases of 1 s over the new RPC method Take. The settings have a section [customerLimits], and /debug/state shows limits and grants.

Result: in TestCustomerLimitOverAllNodes, three nodes at 10 times a customer's rate let through what the limit allows. Tests of the touched packages pass; no test in virtual time yet.

--- a/core/zyentry/customer.go
+++ b/core/zyentry/customer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"zinniayoke"
 )
@@ -28,6 +29,10 @@
 	return nil
 }
 
+// maxReturnAge is how long after it was taken a permission may be returned. An older one
+// would let the customer send twice its rate in a window in which it is used again.
+const maxReturnAge = 500 * time.Millisecond
+
 // limitCustomer enforces the rate limit of the customer. A request that no worker has run
 // does not count towards it.
 func (e *Entry) limitCustomer(next handler) handler {
@@ -35,11 +40,12 @@
 		if e.cfg.CustomerLimits == nil || cs.customer.Limit.Rate <= 0 {
 			return next(ctx, cs)
 		}
+		start := time.Now()
 		if err := e.cfg.CustomerLimits.Take(ctx, cs.customer.Limit); err != nil {
 			return nil, fmt.Errorf("customer %s: %w", cs.customer.Name, err)
 		}
 		reply, err := next(ctx, cs)
-		if outcomeOf(reply, err) == zinniayoke.OutcomeNotRun {
+		if outcomeOf(reply, err) == zinniayoke.OutcomeNotRun && time.Since(start) <= maxReturnAge {
 			e.cfg.CustomerLimits.Return(cs.customer.Name)
 		}
 		return reply, err
--- a/core/zysettings/settings.go
+++ b/core/zysettings/settings.go
@@ -34,6 +34,7 @@
 	// MemoryLimit is the memory limit of the process, or 0 for none.
 	MemoryLimit        zinniayoke.Bytes
 	ServiceRetryBudget ServiceRetryBudget
+	CustomerLimits     CustomerLimits
 }
 
 // Worker describes the worker on the node's own host. Without a [worker] section
@@ -55,6 +56,14 @@
 	Slack  float64
 }
 
+// CustomerLimits bounds how far the requests of a customer may exceed its limit: in any
+// Window, (rate x Window + burst) x (1 + Overage) + Slack of them may run.
+type CustomerLimits struct {
+	Window  time.Duration
+	Overage float64
+	Slack   float64
+}
+
 // Listen holds the listen addresses of the node, each an IP address and a port.
 type Listen struct {
 	Caller   string
@@ -106,6 +115,12 @@
 	maxMemoryLimit   = 64 * 1024 * zinniayoke.MiB
 	maxRetryRatio    = 100
 	maxRetrySlack    = 1_000_000
+	// The bounds of customers' limits for deployments whose settings have none.
+	defaultQuotaWindow  = 5 * time.Second
+	defaultQuotaOverage = 0.1
+	defaultQuotaSlack   = 20
+	maxQuotaOverage     = 10
+	maxQuotaSlack       = 1_000_000
 )
 
 // Parse parses and validates settings; name is the file name for error messages.
@@ -113,9 +128,10 @@
 func Parse(name string, text []byte) (*Settings, error) {
 	file := zyini.Parse(name, text)
 	s := &Settings{
-		Logging:  Logging{Level: "info", Format: "text"},
-		Genesis:  Genesis{Approvals: 1, Approvers: make(map[string]ed25519.PublicKey)},
-		Shutdown: Shutdown{Grace: defaultGrace},
+		Logging:        Logging{Level: "info", Format: "text"},
+		Genesis:        Genesis{Approvals: 1, Approvers: make(map[string]ed25519.PublicKey)},
+		Shutdown:       Shutdown{Grace: defaultGrace},
+		CustomerLimits: CustomerLimits{Window: defaultQuotaWindow, Overage: defaultQuotaOverage, Slack: defaultQuotaSlack},
 	}
 	present := map[string]bool{"node": false, "listen": false, "peers": false}
 	for _, section := range file.Sections() {
@@ -179,6 +195,10 @@
 		s.ServiceRetryBudget.Ratio = zyini.Require(section, "ratio", zyini.Float(maxRetryRatio))
 		s.ServiceRetryBudget.Window = zyini.Require(section, "window", zyini.Duration(time.Second, maxDuration))
 		s.ServiceRetryBudget.Slack = zyini.Require(section, "slack", zyini.Float(maxRetrySlack))
+	case "customerLimits":
+		s.CustomerLimits.Window = zyini.Get(section, "window", zyini.Duration(time.Second, maxDuration), defaultQuotaWindow)
+		s.CustomerLimits.Overage = zyini.Get(section, "overage", zyini.Float(maxQuotaOverage), defaultQuotaOverage)
+		s.CustomerLimits.Slack = zyini.Get(section, "slack", zyini.Float(maxQuotaSlack), defaultQuotaSlack)
 	case "logging":
 		s.Logging.Level = zyini.Get(section, "level", zyini.OneOf("debug", "info", "warn", "error"), "info")
 		s.Logging.Format = zyini.Get(section, "format", zyini.OneOf("text", "json"), "text")
@@ -190,7 +210,7 @@
 		s.Shutdown.Grace = zyini.Get(section, "grace", zyini.Duration(0, maxDuration), defaultGrace)
 		s.Shutdown.DrainDelay = zyini.Get(section, "notice", zyini.Duration(0, maxDuration), 0)
 	default:
-		section.RejectHeader("an unknown section", "node, listen, peers, log, store, worker, memory, retry, logging, approvals, approver, shutdown")
+		section.RejectHeader("an unknown section", "node, listen, peers, log, store, worker, memory, retry, customerLimits, logging, approvals, approver, shutdown")
 	}
 }
 
--- a/failure.go
+++ b/failure.go
@@ -45,6 +45,10 @@
 // worker. The call has not run.
 var ErrMisdirected = errors.New("another worker has this address")
 
+// ErrNotRunning reports that the process of a node does not run: its host has refused the
+// connection.
+var ErrNotRunning = errors.New("the node does not run")
+
 // ExpiredError reports that the log no longer holds the records before First.
 type ExpiredError struct {
 	Stream Stream
--- a/io/zynode/node.go
+++ b/io/zynode/node.go
@@ -69,37 +69,38 @@
 
 // Node is one running node. It must be created with New.
 type Node struct {
-	cfg           Config
-	id            zinniayoke.NodeID
-	logger        *zylogger.Logger
-	log           *zylogger.ComponentLogger
-	logWriter     *zylogger.Writer
-	recorder      *zylogger.EventLog
-	timer         *zytimer.Service
-	bundle        *bundleState
-	view          *memberView
-	client        *zypeer.Client
-	server        *zypeer.Server
-	gossip        *zygossip.Socket
-	sharedLog     zinniayoke.Log
-	discovery     zinniayoke.Discovery
-	follower      *logFollower
-	distributor   *bundleDistributor
-	receiver      *zyingress.Receiver
-	grants        *zyidempotency.GrantTable
-	keyOwner      *zyidempotency.Owner
-	fence         *zyfence.Table
-	keyExecutor   *zykeyowner.Executor
-	keyOwners     *keyOwnerClient
-	entry         *zyentry.Entry
-	picker        *zybalancer.Picker
-	linkBudget    *zybalancer.LinkBudget
-	quarantine    *zyquarantine.Tracker
-	meter         *zymetric.Meter
-	registry      *prometheus.Registry
-	httpServers   []*http.Server
-	subscriptions []*zytimer.Subscription
-	listeners     listeners
+	cfg            Config
+	id             zinniayoke.NodeID
+	logger         *zylogger.Logger
+	log            *zylogger.ComponentLogger
+	logWriter      *zylogger.Writer
+	recorder       *zylogger.EventLog
+	timer          *zytimer.Service
+	bundle         *bundleState
+	view           *memberView
+	client         *zypeer.Client
+	server         *zypeer.Server
+	gossip         *zygossip.Socket
+	sharedLog      zinniayoke.Log
+	discovery      zinniayoke.Discovery
+	follower       *logFollower
+	distributor    *bundleDistributor
+	receiver       *zyingress.Receiver
+	grants         *zyidempotency.GrantTable
+	keyOwner       *zyidempotency.Owner
+	fence          *zyfence.Table
+	keyExecutor    *zykeyowner.Executor
+	keyOwners      *keyOwnerClient
+	customerLimits *customerLimits
+	entry          *zyentry.Entry
+	picker         *zybalancer.Picker
+	linkBudget     *zybalancer.LinkBudget
+	quarantine     *zyquarantine.Tracker
+	meter          *zymetric.Meter
+	registry       *prometheus.Registry
+	httpServers    []*http.Server
+	subscriptions  []*zytimer.Subscription
+	listeners      listeners
 	// joined is true once the node has exchanged member lists with another node or
 	// knows of no other node.
 	joined atomic.Bool
@@ -292,6 +293,7 @@
 	n.subscriptions = append(n.subscriptions,
 		n.timer.Every(memberSyncPeriod, func(time.Time) { n.syncRandom() }),
 		n.timer.Every(maintenancePeriod, n.maintain),
+		n.timer.Every(quotaTickPeriod, n.customerLimits.tick),
 	)
 }
 
@@ -318,6 +320,7 @@
 
 // onPacket handles the version that a packet of another node carries.
 func (n *Node) onPacket(p *zymember.Packet) {
+	n.customerLimits.observePacket()
 	if r := n.reader.Load(); r != nil {
 		r.HandlePacket(p)
 		return
--- a/io/zynode/request_path.go
+++ b/io/zynode/request_path.go
@@ -116,10 +116,11 @@
 		Bundle: n.bundle.Current, Peers: n.keyOwners, OldHome: n.keyOwners, Membership: n.view,
 	})
 	n.keyOwners.executor = n.keyExecutor
+	n.initCustomerLimits()
 	n.entry = zyentry.New(zyentry.Config{
 		Bundle: n.bundle.Current, Parents: parents, Thresholds: thresholds, Sender: sender, KeyOwners: n.keyOwners.router(),
 		Quarantine: n.quarantine, Shares: zyrank.NewShares(), Meter: n.meter,
-		Recorder: n.recorder, Graph: graph, Shedder: shedder,
+		Recorder: n.recorder, Graph: graph, Shedder: shedder, CustomerLimits: n.customerLimits.limiter,
 		Splits: zysplit.New(rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), splitSeed))),
 	})
 }
--- a/io/zynode/state.go
+++ b/io/zynode/state.go
@@ -15,6 +15,7 @@
 	"zinniayoke/core/zyingress"
 	"zinniayoke/core/zymember"
 	"zinniayoke/core/zyquarantine"
+	"zinniayoke/core/zyquota"
 	"zinniayoke/io/zymetric"
 )
 
@@ -33,6 +34,8 @@
 	CrashRecords []zyquarantine.CrashRecord `json:"suspects"`
 	Keys         KeyState                   `json:"keys"`
 	Control      ControlPlaneState          `json:"control"`
+	// CustomerLimits are the limits and grants of customers that this node owns or uses.
+	CustomerLimits zyquota.State `json:"customerLimits"`
 }
 
 // KeyState counts the keys and attempts that the node has records of.
@@ -63,8 +66,9 @@
 		Node: n.id, Locality: n.cfg.Settings.Locality, Started: n.started, Version: n.bundle.Version(), InForceSince: n.bundle.InForceSince(),
 		Worker: n.localUpstream(), Load: n.receiver.Load(), Totals: n.meter.Totals(),
 		Members: n.view.Members(), CrashRecords: n.quarantine.Records(),
-		Keys:    KeyState{Owned: n.keyOwner.Len(), Granted: n.grants.Len(), Attempts: n.fence.Len()},
-		Control: ControlPlaneState{RecordsSkipped: n.bundle.Skipped(), ResidentBytes: residentBytes(), Goroutines: runtime.NumGoroutine(), ReadsStore: n.isReader()},
+		Keys:           KeyState{Owned: n.keyOwner.Len(), Granted: n.grants.Len(), Attempts: n.fence.Len()},
+		CustomerLimits: n.customerLimits.limiter.State(time.Now()),
+		Control:        ControlPlaneState{RecordsSkipped: n.bundle.Skipped(), ResidentBytes: residentBytes(), Goroutines: runtime.NumGoroutine(), ReadsStore: n.isReader()},
 	}
 	if bundle := n.bundle.Current(); bundle != nil {
 		s.Hash = bundle.Hash
--- a/io/zypeer/client.go
+++ b/io/zypeer/client.go
@@ -364,6 +364,15 @@
 	return reply, nil
 }
 
+// RequestQuota asks the node at the address for tokens of customers that it owns.
+func (c *Client) RequestQuota(ctx context.Context, address string, r *zinniayoke.QuotaRequest) (*zinniayoke.QuotaReply, error) {
+	reply := &zinniayoke.QuotaReply{}
+	if err := c.call(ctx, address, "Take", r, reply); err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
 // Close closes all open connections.
 func (c *Client) Close() {
 	c.heartbeatTimer.Cancel()
--- a/io/zypeer/server.go
+++ b/io/zypeer/server.go
@@ -27,6 +27,7 @@
 	ImportKeys(args *ImportKeysArgs)
 	SyncMembers(args *SyncArgs) *SyncReply
 	ExchangeBundle(args *BundleArgs) *BundleReply
+	GrantQuota(r *zinniayoke.QuotaRequest) *zinniayoke.QuotaReply
 }
 
 // ServerConfig configures a Server.
@@ -275,3 +276,9 @@
 	*out = *m.service.ExchangeBundle(args)
 	return nil
 }
+
+// Take grants tokens of the customers that this node owns.
+func (m *methods) Take(args *zinniayoke.QuotaRequest, out *zinniayoke.QuotaReply) error {
+	*out = *m.service.GrantQuota(args)
+	return nil
+}
--- a/message.go
+++ b/message.go
@@ -220,3 +220,54 @@
 	Incarnation Incarnation  `codec:"n"`
 	Notice      WorkerNotice `codec:"w"`
 }
+
+// QuotaRequest asks a node for tokens of some of the customers that it owns.
+type QuotaRequest struct {
+	// Node is a hash of the id of the requesting node. An id would be longer than the rest
+	// of the request.
+	Node uint32     `codec:"n"`
+	Asks []QuotaAsk `codec:"a"`
+}
+
+// QuotaAsk asks for tokens of one customer.
+type QuotaAsk struct {
+	Customer Customer `codec:"c"`
+	// Held is the number of tokens that the node has in its lease.
+	Held int `codec:"h"`
+	// Unused is the number of tokens that the node got before and that have expired.
+	Unused int `codec:"u"`
+	// Needed is the number of requests that wait for a token.
+	Needed int `codec:"d"`
+	// Wanted is the number of tokens that the node would hold ahead of need.
+	Wanted int `codec:"w"`
+}
+
+// QuotaReply holds the grants for the asks of a request, in the same order.
+type QuotaReply struct {
+	Grants []QuotaGrant `codec:"g"`
+}
+
+// QuotaGrant replaces the requesting node's lease of tokens of one customer.
+type QuotaGrant struct {
+	State QuotaState `codec:"s"`
+	// Lease is the number of tokens in the new lease, which includes those that the node
+	// held when it sent the request. The lease expires a fixed time after that.
+	Lease int `codec:"l"`
+	// WaitMs is the time in milliseconds until the owner expects a token for the node; 0
+	// if there is one now.
+	WaitMs int `codec:"w"`
+}
+
+// QuotaState says whether the node that was asked for tokens of a customer grants them.
+type QuotaState int
+
+// The states of an owner.
+const (
+	// QuotaActive means that the node owns the customer and grants tokens.
+	QuotaActive QuotaState = iota
+	// QuotaSettling means that the node has owned the customer for too short a time to
+	// grant tokens.
+	QuotaSettling
+	// QuotaNotOwner means that the node does not own the customer as far as it knows.
+	QuotaNotOwner
+)
--- a/platform.go
+++ b/platform.go
@@ -77,6 +77,14 @@
 	Return(c Customer)
 }
 
+// QuotaClient sends requests for tokens to the nodes that own customers. A token is the
+// permission for one request of a customer.
+type QuotaClient interface {
+	// RequestQuota asks the owner of customers for tokens. The error is ErrNotRunning if
+	// the node's process certainly does not run.
+	RequestQuota(ctx context.Context, owner NodeID, r *QuotaRequest) (*QuotaReply, error)
+}
+
 // CustomerLimit is the rate limit of a customer.
 type CustomerLimit struct {
 	Customer Customer
