--- a/core/zyquota/leases.go
+++ b/core/zyquota/leases.go
@@ -396,7 +396,7 @@
 	s.demand.decay(now)
 	a := zinniayoke.QuotaAsk{
 		Customer: s.limit.Customer, Needed: s.waiting,
-		Wanted: int(math.Ceil(s.demand.perS * leaseTime.Seconds() * leaseCover)),
+		Wanted: int(math.Round(s.demand.perS * leaseTime.Seconds() * leaseCover)),
 	}
 	if s.valid(now) {
 		a.Held = s.tokens
--- a/core/zyquota/owner.go
+++ b/core/zyquota/owner.go
@@ -25,7 +25,11 @@
 	reservationGrace = 250 * time.Millisecond
 	// reservationPeriod is the period of demand that the reservations of all nodes cover.
 	reservationPeriod = 500 * time.Millisecond
-	notOwnerWait      = 200 * time.Millisecond
+	// minReservation is the smallest number of tokens that a node must lack for a reservation.
+	// With reservations for nodes that lack fewer, customers with 6 requests a second got 70%
+	// of their limit at 79 nodes.
+	minReservation = 4
+	notOwnerWait   = 200 * time.Millisecond
 	// minAheadLevel is the fill level of a bucket above which tokens are granted ahead of
 	// need. The rest is kept for requests that wait.
 	minAheadLevel = 0.5
@@ -53,6 +57,12 @@
 	return l
 }
 
+// Of returns the limit of a customer and whether it has one.
+func (l *Limits) Of(c zinniayoke.Customer) (zinniayoke.CustomerLimit, bool) {
+	limit, ok := l.byCustomer[c]
+	return limit, ok
+}
+
 // Situation is what a node knows at a tick.
 type Situation struct {
 	View *View
@@ -142,7 +152,7 @@
 		}
 	}
 	for c := range o.buckets {
-		if _, ok := o.limits.byCustomer[c]; !ok {
+		if _, ok := o.limits.Of(c); !ok {
 			delete(o.buckets, c)
 		}
 	}
@@ -357,12 +367,16 @@
 	return held
 }
 
-// reserve reserves up to n tokens for a node and returns the time until they are ready. If
-// that is too far away, it reserves none.
+// reserve reserves up to n tokens for a node and returns the time until they are ready. It
+// reserves none if that is too far away, or if the node's demand is so low that its next
+// request would come too late: then the first node that asks gets the next token.
 func (b *bucket) reserve(now time.Time, g *granted, n int, share float64) time.Duration {
 	if g.reserved > 0 {
 		return g.ready.Sub(now)
 	}
+	if n < minReservation {
+		return b.timeFor(1, share)
+	}
 	fair := float64(b.limit.Rate) * share * reservationPeriod.Seconds() / float64(len(b.leases)+1)
 	n = max(min(n, int(math.Floor(fair))), 1)
 	wait := b.timeFor(n, share)
--- a/core/zyquota/view.go
+++ b/core/zyquota/view.go
@@ -38,9 +38,9 @@
 	// heldPeriod + heldSlack.
 	heldPeriod = 500 * time.Millisecond
 	heldSlack  = 10
-	// heldExcessShare bounds them by a share of the excess that the rule allows. The rest
-	// covers changes of owners.
-	heldExcessShare = 0.5
+	// heldExcessShare bounds them by a share of the excess that the rule allows, too. The rest
+	// covers changes of owners. At a share of 0.5, a node sends a quarter more messages.
+	heldExcessShare = 0.8
 )
 
 // maxHeld returns how many tokens of a customer may be in leases at all nodes together.
--- a/core/zysettings/settings_test.go
+++ b/core/zysettings/settings_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"strings"
 	"testing"
+	"time"
 
 	"zinniayoke/core/zyini"
 	"zinniayoke/core/zysettings"
@@ -54,6 +55,8 @@
 		{"grace = 15s", "grace = 15", "accepted: a duration with its unit"},
 		{"needed = 1", "needed = 0", "accepted: a whole number from 1 to 16"},
 		{"[log]\naddress = 127.0.0.1:7000", "", "[log]: found no such section"},
+		{"[log]", "[customerLimits]\noverage = NaN\n[log]", "accepted: a number from 0 to 10"},
+		{"[log]", "[customerLimits]\nwindow = 5\n[log]", "accepted: a duration with its unit"},
 		{"key = 7a7a", "key = 7a", "accepted: 32 bytes as hexadecimal digits"},
 	} {
 		_, err := zysettings.Parse("s.ini", []byte(strings.Replace(valid, c.old, c.new, 1)))
@@ -64,6 +67,24 @@
 	}
 }
 
+// TestCustomerLimits checks the bounds with and without the section, and with one setting.
+func TestCustomerLimits(t *testing.T) {
+	raw, err := examples.Files.ReadFile("hollander.kurume-settings.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for section, want := range map[string]zysettings.CustomerLimits{
+		"":                                {Window: 5 * time.Second, Overage: 0.1, Slack: 20},
+		"[customerLimits]\noverage = 0\n": {Window: 5 * time.Second, Overage: 0, Slack: 20},
+		"[customerLimits]\nwindow = 4s\noverage = 0.2\nslack = 7\n": {Window: 4 * time.Second, Overage: 0.2, Slack: 7},
+	} {
+		s, err := zysettings.Parse("s.ini", []byte(section+string(raw)))
+		if err != nil || s.CustomerLimits != want {
+			t.Errorf("with %q: got %+v, %v, want %+v", section, s, err, want)
+		}
+	}
+}
+
 // FuzzParse checks that Parse does not panic and accepts no settings without a host or
 // peer key.
 func FuzzParse(f *testing.F) {
--- a/io/zypeer/client.go
+++ b/io/zypeer/client.go
@@ -210,7 +210,11 @@
 		return &PeerError{Address: address, Method: method, Err: err}
 	}
 	c.callStarted(pc)
-	call := pc.rpc.Go(serviceName+"."+method, args, reply, make(chan *rpc.Call, 1))
+	name := method
+	if method != quotaMethod {
+		name = serviceName + "." + method
+	}
+	call := pc.rpc.Go(name, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 		c.callEnded(pc, call.Error == nil)
@@ -367,7 +371,7 @@
 // RequestQuota asks the node at the address for tokens of customers that it owns.
 func (c *Client) RequestQuota(ctx context.Context, address string, r *zinniayoke.QuotaRequest) (*zinniayoke.QuotaReply, error) {
 	reply := &zinniayoke.QuotaReply{}
-	if err := c.call(ctx, address, "Take", r, reply); err != nil {
+	if err := c.call(ctx, address, quotaMethod, r, reply); err != nil {
 		return nil, err
 	}
 	return reply, nil
--- a/io/zypeer/server.go
+++ b/io/zypeer/server.go
@@ -44,6 +44,10 @@
 	maxInitLen        = 1 << 20
 	serviceName       = "Node"
 	runMethod         = serviceName + ".Run"
+	// Requests for tokens have a service of their own with a short name, because net/rpc sends
+	// the name in both directions and these messages are frequent and small.
+	quotaServiceName = "Q"
+	quotaMethod      = quotaServiceName + ".T"
 )
 
 // Server serves RPC calls of peers. A Server must be created with NewServer.
@@ -119,6 +123,9 @@
 	if err := s.rpc.RegisterName(serviceName, &methods{service: cfg.Service}); err != nil {
 		return nil, fmt.Errorf("register RPC service %q: %w", serviceName, err)
 	}
+	if err := s.rpc.RegisterName(quotaServiceName, &quotaMethods{service: cfg.Service}); err != nil {
+		return nil, fmt.Errorf("register RPC service %q: %w", quotaServiceName, err)
+	}
 	return s, nil
 }
 
@@ -277,8 +284,13 @@
 	return nil
 }
 
-// Take grants tokens of the customers that this node owns.
-func (m *methods) Take(args *zinniayoke.QuotaRequest, out *zinniayoke.QuotaReply) error {
+// quotaMethods is the service of requests for tokens.
+type quotaMethods struct {
+	service Service
+}
+
+// T grants tokens of the customers that this node owns.
+func (m *quotaMethods) T(args *zinniayoke.QuotaRequest, out *zinniayoke.QuotaReply) error {
 	*out = *m.service.GrantQuota(args)
 	return nil
 }
