--- a/core/zyexperiment/quota.go
+++ b/core/zyexperiment/quota.go
@@ -603,39 +603,56 @@
 	s.Bytes, s.Messages = 0, 0
 }
 
-// Violation describes the first window in which more requests of a customer were granted
-// than the rule allows, or returns "". The limit of an earlier version counts until 8 s after
+// Violation describes a window in which more requests of a customer were granted than the rule
+// allows, or returns "". The limit of an earlier version counts until 8 s after
 // the next was written: 3 s until that is in force, and 5 s until a lower limit binds.
 func (s *QuotaSim) Violation() string {
+	for c := range s.grants {
+		if worst := s.WorstWindow(c); worst.Requests > worst.Allowed {
+			return fmt.Sprintf("customer %s: %.0f requests in the 5 s before %s, %.1f are allowed", c, worst.Requests, worst.End, worst.Allowed)
+		}
+	}
+	return ""
+}
+
+// QuotaWindow describes a window of 5 s.
+type QuotaWindow struct {
+	Requests float64
+	// Allowed is how many requests the rule allows.
+	Allowed float64
+	End     time.Duration
+}
+
+// WorstWindow returns the window in which a customer has used most of what the rule allows.
+func (s *QuotaSim) WorstWindow(c zinniayoke.Customer) QuotaWindow {
 	bounds := zyquota.DefaultBounds()
 	const binding = 8 * time.Second
-	for c, grants := range s.grants {
-		var times []time.Time
-		for _, g := range grants {
-			if !g.notRun {
-				times = append(times, g.at)
-			}
+	worst := QuotaWindow{Allowed: 1}
+	var times []time.Time
+	for _, g := range s.grants[c] {
+		if !g.notRun {
+			times = append(times, g.at)
 		}
-		first := 0
-		for i, t := range times {
-			for t.Sub(times[first]) >= bounds.Window {
-				first++
-			}
-			allowed := 0.0
-			for v, version := range s.history {
-				superseded := v+1 < len(s.history) && s.history[v+1].at.Add(binding).Before(times[first])
-				limit, ok := version.limits[c]
-				if superseded || version.at.After(t) || !ok {
-					continue
-				}
-				allowed = math.Max(allowed, (float64(limit.Rate)*bounds.Window.Seconds()+limit.Burst)*(1+bounds.Overage)+bounds.Slack)
-			}
-			if n := i - first + 1; float64(n) > allowed {
-				return fmt.Sprintf("customer %s: %d requests in the 5 s before %s, %.1f are allowed", c, n, t.Sub(startTime), allowed)
+	}
+	first := 0
+	for i, t := range times {
+		for t.Sub(times[first]) >= bounds.Window {
+			first++
+		}
+		w := QuotaWindow{Requests: float64(i - first + 1), End: t.Sub(startTime)}
+		for v, version := range s.history {
+			superseded := v+1 < len(s.history) && s.history[v+1].at.Add(binding).Before(times[first])
+			limit, ok := version.limits[c]
+			if superseded || version.at.After(t) || !ok {
+				continue
 			}
+			w.Allowed = math.Max(w.Allowed, (float64(limit.Rate)*bounds.Window.Seconds()+limit.Burst)*(1+bounds.Overage)+bounds.Slack)
+		}
+		if w.Requests/w.Allowed > worst.Requests/worst.Allowed {
+			worst = w
 		}
 	}
-	return ""
+	return worst
 }
 
 // LargeQuotaLimits returns the limits of 82 customers with 2,560 requests a second together:
--- a/core/zyquota/leases.go
+++ b/core/zyquota/leases.go
@@ -151,6 +151,17 @@
 	}
 }
 
+// Prune removes the leases of customers that have no limit any more.
+func (l *Leases) Prune(limits *Limits) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c, s := range l.leases {
+		if _, ok := limits.Of(c); !ok && !s.sent && !s.due && s.waiting == 0 {
+			delete(l.leases, c)
+		}
+	}
+}
+
 // Decision is the result of Take.
 type Decision struct {
 	// Granted is true if the request may run.
@@ -372,13 +383,17 @@
 	if !ok || !link.sent.IsZero() || len(link.due) == 0 || now.Before(link.retryAt) {
 		return nil
 	}
-	r := &zinniayoke.QuotaRequest{Node: l.nodeHash}
+	r := &zinniayoke.QuotaRequest{}
 	for _, s := range link.due {
 		s.due = false
 		if s.owner != link {
 			continue // The customer has another owner now.
 		}
-		r.Asks = append(r.Asks, s.ask(now))
+		a := s.ask(now)
+		if a.Held > 0 || a.Wanted > 0 {
+			r.Node = l.nodeHash
+		}
+		r.Asks = append(r.Asks, a)
 	}
 	link.due = link.due[:0]
 	if len(r.Asks) == 0 {
--- a/core/zyquota/limiter.go
+++ b/core/zyquota/limiter.go
@@ -20,6 +20,8 @@
 	cfg    LimiterConfig
 	owner  *Owner
 	leases *Leases
+	// limits are those of the latest tick.
+	limits *Limits
 }
 
 // NewLimiter returns a Limiter, which refuses all requests before Tick is called.
@@ -35,10 +37,14 @@
 }
 
 // Tick updates what the limiter knows of other nodes and of the limits. It must be called
-// several times a second.
+// several times a second, by one goroutine at a time.
 func (l *Limiter) Tick(now time.Time, s Situation) {
 	l.owner.Tick(now, s)
 	l.leases.SetView(s.View)
+	if s.Limits != l.limits {
+		l.limits = s.Limits
+		l.leases.Prune(s.Limits)
+	}
 }
 
 // Handle grants tokens of the customers that this node owns to another node.
--- a/core/zyquota/owner.go
+++ b/core/zyquota/owner.go
@@ -25,9 +25,9 @@
 	reservationGrace = 250 * time.Millisecond
 	// reservationPeriod is the period of demand that the reservations of all nodes cover.
 	reservationPeriod = 500 * time.Millisecond
-	// minReservation is the smallest number of tokens that a node must lack for a reservation.
-	// With reservations for nodes that lack fewer, customers with 6 requests a second got 70%
-	// of their limit at 79 nodes.
+	// minReservation is the number of tokens that a node must want for a reservation. With
+	// reservations for nodes that want fewer, customers with 6 requests a second got 70% of
+	// their limit at 79 nodes.
 	minReservation = 4
 	notOwnerWait   = 200 * time.Millisecond
 	// minAheadLevel is the fill level of a bucket above which tokens are granted ahead of
@@ -344,11 +344,13 @@
 	}
 	reply := zinniayoke.QuotaGrant{Lease: held + fresh}
 	if waiting > served {
-		reply.WaitMs = milliseconds(b.reserve(now, &g, waiting-served+wanted, t.share))
+		reply.WaitMs = milliseconds(b.reserve(now, &g, max(a.Wanted, 0), t.share))
 	}
 	// The requests that wait use their tokens at once, so these are not outstanding.
 	g.tokens, g.expires = max(reply.Lease-needed, 0), now.Add(leaseTime)
-	b.leases[node] = g
+	if node != 0 {
+		b.leases[node] = g
+	}
 	return reply
 }
 
@@ -367,7 +369,7 @@
 	return held
 }
 
-// reserve reserves up to n tokens for a node and returns the time until they are ready. It
+// reserve reserves up to n tokens, those that the node wants, for a node and returns the time until they are ready. It
 // reserves none if that is too far away, or if the node's demand is so low that its next
 // request would come too late: then the first node that asks gets the next token.
 func (b *bucket) reserve(now time.Time, g *granted, n int, share float64) time.Duration {
--- a/core/zyquota/state.go
+++ b/core/zyquota/state.go
@@ -65,6 +65,17 @@
 	return s
 }
 
+// Fallbacks returns the number of customers for which this node grants itself its equal share.
+func (s *State) Fallbacks() int {
+	n := 0
+	for i := range s.Used {
+		if s.Used[i].Fallback {
+			n++
+		}
+	}
+	return n
+}
+
 func (o *Owner) describe(now time.Time, s *State) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/core/zyquota/traffic_test.go
+++ b/core/zyquota/traffic_test.go
@@ -36,3 +36,46 @@
 		})
 	}
 }
+
+// BenchmarkAlternatives compares ways to limit customers over all nodes: the share of requests
+// that are refused at the usual demand of all, and the largest part of what the rule allows
+// that a customer of 576, 50 or 5 requests a second gets in 5 s when it sends 8 times as much.
+func BenchmarkAlternatives(b *testing.B) {
+	for _, c := range []struct {
+		name   string
+		hosts  int
+		change func(*zyexperiment.QuotaConfig)
+	}{
+		{"equalShares", 79, (*zyexperiment.QuotaConfig).UseEqualShares},
+		{"atWorkers", 20, (*zyexperiment.QuotaConfig).UseEqualShares},
+		{"gossip", 79, func(cfg *zyexperiment.QuotaConfig) { cfg.UseGossip(time.Second) }},
+		{"leases", 79, func(*zyexperiment.QuotaConfig) {}},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			for range b.N {
+				limits := zyexperiment.LargeQuotaLimits()
+				cfg := zyexperiment.QuotaConfig{Hosts: c.hosts, Limits: limits, Seed: 1}
+				c.change(&cfg)
+				s := zyexperiment.NewQuotaSim(cfg)
+				s.Run(10 * time.Second)
+				for _, l := range limits {
+					s.Load(l.Customer, float64(l.Rate)/1.6, 50*time.Second, zyexperiment.AnyHost)
+				}
+				s.Run(20 * time.Second)
+				all := s.Counts("")
+				b.ReportMetric(100*float64(all.Refused)/float64(all.Sent), "%refused")
+				b.ReportMetric(float64(s.Bytes)/20/float64(c.hosts), "B/node/s")
+				for _, i := range []int{0, 9, len(limits) - 1} {
+					usual := s.Counts(limits[i].Customer)
+					b.ReportMetric(100*float64(usual.Refused)/float64(usual.Sent), fmt.Sprintf("%%refused%.0f", limits[i].Rate))
+					s.Load(limits[i].Customer, 7*float64(limits[i].Rate)/1.6, 6*time.Second, zyexperiment.AnyHost)
+				}
+				s.Run(8 * time.Second)
+				for _, i := range []int{0, 9, len(limits) - 1} {
+					w := s.WorstWindow(limits[i].Customer)
+					b.ReportMetric(100*w.Requests/w.Allowed, fmt.Sprintf("%%ofRule%.0f", limits[i].Rate))
+				}
+			}
+		})
+	}
+}
--- a/io/zynode/customer_limits.go
+++ b/io/zynode/customer_limits.go
@@ -13,6 +13,7 @@
 	"zinniayoke/core/zybundle"
 	"zinniayoke/core/zymember"
 	"zinniayoke/core/zyquota"
+	"zinniayoke/io/zylogger"
 	"zinniayoke/io/zypeer"
 )
 
@@ -41,6 +42,8 @@
 	hosts     *zyquota.View
 	current   *zybundle.Bundle
 	limits    *zyquota.Limits
+	fallbacks int
+	log       *zylogger.ComponentLogger
 }
 
 // initCustomerLimits creates the limiter of customers.
@@ -48,6 +51,7 @@
 	c := n.cfg.Settings.CustomerLimits
 	n.customerLimits = &customerLimits{
 		view: n.view, client: n.client, bundle: n.bundle.Current, joined: n.joined.Load, started: time.Now(), limits: zyquota.NewLimits(nil),
+		log: n.logger.ForComponent("limits"),
 	}
 	n.customerLimits.limiter = zyquota.NewLimiter(zyquota.LimiterConfig{
 		Self: n.id, Client: n.customerLimits, Bounds: zyquota.Bounds{Window: c.Window, Overage: c.Overage, Slack: c.Slack},
@@ -73,6 +77,20 @@
 	silence := time.Since(c.started) - time.Duration(c.heard.Load())
 	alone := len(c.snapshot.members) <= 1
 	c.limiter.Tick(now, zyquota.Situation{View: c.hosts, Connected: alone || silence < silencePeriod, Limits: c.limits})
+	c.logFallbacks(now)
+}
+
+// logFallbacks logs when this node begins and ceases to grant itself equal shares.
+func (c *customerLimits) logFallbacks(now time.Time) {
+	state := c.limiter.State(now)
+	fallbacks := state.Fallbacks()
+	switch {
+	case fallbacks > 0 && c.fallbacks == 0:
+		c.log.With("customers", fallbacks).Warn("The owners of customers cannot be reached. This node grants itself an equal share of their rates.")
+	case fallbacks == 0 && c.fallbacks > 0:
+		c.log.Info("The owners of all customers can be reached again.")
+	}
+	c.fallbacks = fallbacks
 }
 
 func limitsOf(bundle *zybundle.Bundle) *zyquota.Limits {
--- a/io/zynode/state.go
+++ b/io/zynode/state.go
@@ -124,6 +124,19 @@
 	gauge("control_bytes_sent", "Bytes of membership packets sent.", func() float64 {
 		return float64(n.State().Control.BytesSent)
 	})
+	gauge("customer_limits_owned", "Customers whose rate limit this node keeps.", func() float64 {
+		return float64(len(n.customerLimits.limiter.State(time.Now()).Owned))
+	})
+	gauge("customer_limits_share", "Part of each customer's rate that this node grants, by the hosts that it can reach.", func() float64 {
+		return n.customerLimits.limiter.State(time.Now()).Share
+	})
+	gauge("customer_limits_fallback", "Customers for which this node grants itself an equal share, because their owner cannot be reached.", func() float64 {
+		state := n.customerLimits.limiter.State(time.Now())
+		return float64(state.Fallbacks())
+	})
+	gauge("customer_limits_messages_sent", "Requests for tokens sent to owners of customers.", func() float64 {
+		return float64(n.customerLimits.limiter.State(time.Now()).MessagesSent)
+	})
 	gauge("reads_store", "1 while the node reads the store for its failure domain.", func() float64 {
 		if n.isReader() {
 			return 1
--- a/message.go
+++ b/message.go
@@ -223,8 +223,8 @@
 
 // QuotaRequest asks a node for tokens of some of the customers that it owns.
 type QuotaRequest struct {
-	// Node is a hash of the id of the requesting node. An id would be longer than the rest
-	// of the request.
+	// Node is a hash of the id of the requesting node, which is shorter than the id. It is 0
+	// in a request for nothing but tokens for requests that wait.
 	Node uint32     `codec:"n"`
 	Asks []QuotaAsk `codec:"a"`
 }
