core/zyquota: customers are handed over; links and outages of idle customers

An outage seen long ago would have started equal shares at once.

Change: a new owner asks the former one for its buckets (RPC Release), and entry nodes use the former one until then. Equal shares hold as many tokens together as leases may. Links in use are kept, and an outage counts only if it was seen within 3 s. A bucket that has nothing ahead of need is asked for that once a second.

--- a/core/zyexperiment/quota.go
+++ b/core/zyexperiment/quota.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net/rpc"
@@ -35,6 +36,9 @@
 type QuotaOwner interface {
 	Tick(now time.Time, s zyquota.Situation)
 	Handle(now time.Time, r *zinniayoke.QuotaRequest) *zinniayoke.QuotaReply
+	Takeovers(now time.Time) map[zinniayoke.NodeID]*zinniayoke.QuotaRelease
+	Release(now time.Time, r *zinniayoke.QuotaRelease) *zinniayoke.QuotaHandover
+	Adopt(now time.Time, r *zinniayoke.QuotaRelease, h *zinniayoke.QuotaHandover)
 }
 
 // QuotaLeases is implemented by zyquota.Leases.
@@ -265,13 +269,37 @@
 				changed = true
 			}
 		}
-		changed = n.peers[i].observe(now, s, h, reached) || changed
+		// A node that has not joined others sends them nothing.
+		changed = n.peers[i].observe(now, s, h, reached && h.run.joined) || changed
 	}
 	if changed {
 		n.updateView()
 	}
 	n.owner.Tick(now, zyquota.Situation{View: n.view, Connected: now.Sub(n.heard) < silencePeriod, Limits: n.limits})
 	n.leases.SetView(n.view)
+	takeovers := n.owner.Takeovers(now)
+	for _, former := range slices.Sorted(maps.Keys(takeovers)) {
+		n.takeOver(s.hostOf(former), takeovers[former])
+	}
+}
+
+// takeOver asks the host of the former owner of customers to hand them over.
+func (n *quotaNode) takeOver(former *quotaHost, r *zinniayoke.QuotaRelease) {
+	s := n.host.sim
+	s.clock.after(quotaLatency, func() {
+		if n.host.partition != former.partition || former.run == nil {
+			return
+		}
+		target := former.run
+		target.unlessPaused(func() {
+			h := target.owner.Release(s.clock.now, r)
+			s.clock.after(quotaLatency, func() {
+				if n.host.partition == former.partition {
+					n.unlessPaused(func() { n.owner.Adopt(s.clock.now, r, h) })
+				}
+			})
+		})
+	})
 }
 
 // join copies the list of hosts of another node.
--- a/core/zyexperiment/quota_alternative.go
+++ b/core/zyexperiment/quota_alternative.go
@@ -18,6 +18,17 @@
 	return &zinniayoke.QuotaReply{}
 }
 
+// Takeovers returns nothing.
+func (noOwner) Takeovers(time.Time) map[zinniayoke.NodeID]*zinniayoke.QuotaRelease { return nil }
+
+// Release hands nothing over.
+func (noOwner) Release(time.Time, *zinniayoke.QuotaRelease) *zinniayoke.QuotaHandover {
+	return &zinniayoke.QuotaHandover{}
+}
+
+// Adopt does nothing.
+func (noOwner) Adopt(time.Time, *zinniayoke.QuotaRelease, *zinniayoke.QuotaHandover) {}
+
 // withoutMessages has the methods of a QuotaLeases that sends no messages.
 type withoutMessages struct{}
 
--- a/core/zyquota/leases.go
+++ b/core/zyquota/leases.go
@@ -17,6 +17,9 @@
 	fallbackDelay = 4 * time.Second
 	// retryPeriod is the time between requests to an owner that cannot be reached.
 	retryPeriod = 250 * time.Millisecond
+	// failureMemory is how long after its latest message failed an owner counts as unreachable.
+	// It is longer than the time between two messages if requests arrive.
+	failureMemory = 3 * time.Second
 	// maxWait is how long a request waits for a token.
 	maxWait = 100 * time.Millisecond
 	// demandPeriod is the time constant of the demand estimate.
@@ -26,6 +29,9 @@
 	// aheadDemand is the demand in requests per second from which a node requests tokens
 	// ahead of need. Below it, most of these tokens would expire unused.
 	aheadDemand = 2
+	// switchTime is how long a node goes on asking the former owner of a customer, which
+	// refuses once it has handed the customer over.
+	switchTime = 1500 * time.Millisecond
 	// refundPeriod is how long after their expiry unused tokens may be given back.
 	refundPeriod = 1 * time.Second
 )
@@ -61,8 +67,9 @@
 	// due holds the leases to include in the next message.
 	due []*lease
 	// failingSince is when the first message was sent since the owner cannot be reached;
-	// zero if it can. Nothing is sent before retryAt.
+	// zero if it can. failedAt is when the latest one failed. Nothing is sent before retryAt.
 	failingSince time.Time
+	failedAt     time.Time
 	retryAt      time.Time
 	// gone is true if the process of the owner certainly does not run.
 	gone bool
@@ -70,10 +77,16 @@
 
 // lease is what an entry node may use for one customer.
 type lease struct {
-	limit  zinniayoke.CustomerLimit
-	view   *View
-	owner  *ownerLink
-	tokens int
+	limit zinniayoke.CustomerLimit
+	view  *View
+	owner *ownerLink
+	// next is the new owner, which is asked from switchAt on or when the former one refuses;
+	// nil if the owner has not changed lately.
+	next     *ownerLink
+	switchAt time.Time
+	// formerAsked is true if the former owner was asked because the new one settles.
+	formerAsked bool
+	tokens      int
 	// expires is when tokens expire.
 	expires time.Time
 	// unused counts the tokens that expired at unusedAt.
@@ -86,12 +99,16 @@
 	// waiting is the number of requests that wait for a token.
 	waiting int
 	due     bool
-	// retryAt is when the owner expects the next token.
+	// retryAt is when the owner expects the next token, and aheadAt when tokens are requested
+	// ahead of need again.
 	retryAt time.Time
+	aheadAt time.Time
 	demand  estimate
 	// outage is since when no owner grants tokens because none can be reached or the one
-	// that was reached does not grant yet. It is zero if one does.
-	outage time.Time
+	// that was reached does not grant yet. It is zero if one does. outageSeen is when that
+	// was noticed last.
+	outage     time.Time
+	outageSeen time.Time
 	// ownerGone is true if the process of the owner did certainly not run in the outage.
 	ownerGone bool
 	local     localBucket
@@ -118,7 +135,7 @@
 	e.perS += 1 / demandPeriod.Seconds()
 }
 
-// localBucket is the token bucket of a node's equal share. It holds one token at most.
+// localBucket is the token bucket of a node's equal share.
 type localBucket struct {
 	level   float64
 	updated time.Time
@@ -140,12 +157,12 @@
 		return
 	}
 	l.view = v
-	current := make(map[zinniayoke.NodeID]bool, len(v.candidates))
-	for _, c := range v.candidates {
-		current[c.node] = true
+	used := make(map[*ownerLink]bool)
+	for _, s := range l.leases {
+		used[s.owner], used[s.next] = true, true
 	}
 	for node, link := range l.owners {
-		if !current[node] && link.sent.IsZero() && len(link.due) == 0 {
+		if !used[link] && link.sent.IsZero() && len(link.due) == 0 {
 			delete(l.owners, node)
 		}
 	}
@@ -181,7 +198,7 @@
 func (l *Leases) Take(now time.Time, limit zinniayoke.CustomerLimit, repeated bool) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s := l.leaseOf(limit)
+	s := l.leaseOf(now, limit)
 	if !repeated {
 		s.demand.observe(now)
 	}
@@ -205,7 +222,7 @@
 		return Decision{RetryAfter: retryPeriod, Detail: "no node is known that could own the customer"}
 	}
 	if wait := s.owner.blockedFor(now); wait > 0 {
-		s.failed(s.owner)
+		s.failed(now, s.owner)
 		return l.takeFallback(now, s, wait)
 	}
 	if wait := s.retryAt.Sub(now); wait > 0 {
@@ -240,7 +257,7 @@
 	switch {
 	case !ok:
 	case s.inFallback(now):
-		s.local.level = min(s.local.level+1, 1)
+		s.local.level++
 	case now.Before(s.expires):
 		s.tokens++
 		s.taken--
@@ -250,28 +267,45 @@
 }
 
 // leaseOf returns the lease of a customer with its current owner.
-func (l *Leases) leaseOf(limit zinniayoke.CustomerLimit) *lease {
+func (l *Leases) leaseOf(now time.Time, limit zinniayoke.CustomerLimit) *lease {
 	s, ok := l.leases[limit.Customer]
 	if !ok {
 		s = &lease{}
 		l.leases[limit.Customer] = s
 	}
 	s.limit = limit
-	if s.view == l.view {
-		return s
+	if s.view != l.view {
+		s.view = l.view
+		l.updateOwner(now, s)
 	}
-	s.view = l.view
-	node := l.view.ownerOf(limit.Customer)
+	if s.next != nil && (!now.Before(s.switchAt) || s.owner.blockedFor(now) > 0) {
+		s.switchOwner()
+	}
+	return s
+}
+
+// updateOwner chooses the owner of a customer after the view has changed.
+func (l *Leases) updateOwner(now time.Time, s *lease) {
+	node := l.view.ownerOf(s.limit.Customer)
+	s.formerAsked = false
 	switch {
 	case node == "":
-		s.owner = nil
-	case s.owner == nil || s.owner.node != node:
+		s.owner, s.next = nil, nil
+	case s.owner == nil:
 		s.owner = l.linkTo(node)
-		s.retryAt = time.Time{}
-		s.unused = 0
-		s.due = false
+	case s.owner.node == node:
+		s.next = nil
+	case s.next == nil || s.next.node != node:
+		s.next, s.switchAt = l.linkTo(node), now.Add(switchTime)
 	}
-	return s
+}
+
+// switchOwner replaces the owner of a customer by the new one.
+func (s *lease) switchOwner() {
+	s.owner, s.next = s.next, nil
+	s.retryAt = time.Time{}
+	s.unused = 0
+	s.due = false
 }
 
 func (l *Leases) linkTo(node zinniayoke.NodeID) *ownerLink {
@@ -303,20 +337,32 @@
 }
 
 // failed records that the owner cannot be reached.
-func (s *lease) failed(o *ownerLink) {
-	if s.outage.IsZero() || o.failingSince.Before(s.outage) {
-		s.outage = o.failingSince
-	}
+func (s *lease) failed(now time.Time, o *ownerLink) {
+	s.observeOutage(now, o.failingSince)
 	s.ownerGone = s.ownerGone || o.gone
 }
 
+// observeOutage records that no owner has granted tokens since the given time.
+func (s *lease) observeOutage(now, since time.Time) {
+	if s.outage.IsZero() || now.Sub(s.outageSeen) > failureMemory {
+		s.outage, s.ownerGone = since, false
+	}
+	s.outageSeen = now
+}
+
+// fail records that a message to the owner that was sent at the given time has failed.
+func (o *ownerLink) fail(now, sent time.Time) {
+	if o.failingSince.IsZero() || now.Sub(o.failedAt) > failureMemory {
+		o.failingSince = sent
+	}
+	o.failedAt = now
+}
+
 // blockedFor returns how long nothing is sent to the owner because it cannot be reached, or
 // because it has not replied to a message for longer than a request may wait.
 func (o *ownerLink) blockedFor(now time.Time) time.Duration {
 	if !o.sent.IsZero() && now.Sub(o.sent) > maxWait {
-		if o.failingSince.IsZero() {
-			o.failingSince = o.sent
-		}
+		o.fail(now, o.sent)
 		return retryPeriod
 	}
 	return o.retryAt.Sub(now)
@@ -326,7 +372,7 @@
 // enough to need them before they expire. It returns the owner if a message is due.
 func (l *Leases) requestAhead(now time.Time, s *lease) zinniayoke.NodeID {
 	if s.tokens > 0 || s.demand.perS < aheadDemand || s.owner == nil || s.sent ||
-		now.Before(s.retryAt) || s.owner.blockedFor(now) > 0 {
+		now.Before(s.retryAt) || now.Before(s.aheadAt) || s.owner.blockedFor(now) > 0 {
 		return ""
 	}
 	return s.request()
@@ -347,7 +393,7 @@
 
 // inFallback reports whether this node grants itself its equal share.
 func (s *lease) inFallback(now time.Time) bool {
-	return !s.outage.IsZero() && (s.ownerGone || now.Sub(s.outage) >= fallbackDelay)
+	return !s.outage.IsZero() && now.Sub(s.outageSeen) <= failureMemory && (s.ownerGone || now.Sub(s.outage) >= fallbackDelay)
 }
 
 // takeFallback takes a token of this node's equal share if it may use that yet. wait is the
@@ -357,7 +403,7 @@
 		return Decision{RetryAfter: wait, Detail: "the node that grants the customer's requests cannot be reached"}
 	}
 	const detail = "the customer is over this node's share of its rate"
-	rate := float64(l.view.fallbackRate(l.cfg.Bounds, s.limit, l.host))
+	rate, capacity := l.view.fallback(l.cfg.Bounds, s.limit, l.host)
 	if rate <= 0 {
 		return Decision{RetryAfter: max(wait, time.Second), Detail: detail}
 	}
@@ -365,7 +411,7 @@
 	if b.updated.Before(s.outage) {
 		*b = localBucket{updated: now}
 	}
-	b.level = min(b.level+rate*now.Sub(b.updated).Seconds(), 1)
+	b.level = min(b.level+rate*now.Sub(b.updated).Seconds(), capacity)
 	b.updated = now
 	if b.level < 1 {
 		return Decision{RetryAfter: time.Duration((1 - b.level) / rate * float64(time.Second)), Detail: detail}
@@ -385,10 +431,10 @@
 	}
 	r := &zinniayoke.QuotaRequest{}
 	for _, s := range link.due {
-		s.due = false
 		if s.owner != link {
 			continue // The customer has another owner now.
 		}
+		s.due = false
 		a := s.ask(now)
 		if a.Held > 0 || a.Wanted > 0 {
 			r.Node = l.nodeHash
@@ -436,9 +482,7 @@
 		err = errMalformed
 	}
 	if err != nil {
-		if link.failingSince.IsZero() {
-			link.failingSince = sent
-		}
+		link.fail(now, sent)
 		link.retryAt = now.Add(retryPeriod)
 		link.gone = errors.Is(err, zinniayoke.ErrNotRunning)
 	} else {
@@ -447,11 +491,15 @@
 	for i := range r.Asks {
 		s := l.leases[r.Asks[i].Customer]
 		s.sent = false
-		if err != nil {
-			s.failed(link)
-			continue
+		current := s.owner == link
+		switch {
+		case err == nil && current && reply.Grants[i].State == zinniayoke.QuotaSettling && !s.formerAsked:
+			l.askFormer(now, s)
+		case err == nil:
+			s.apply(now, sent, reply.Grants[i], current)
+		case current:
+			s.failed(now, link)
 		}
-		s.apply(now, sent, reply.Grants[i])
 	}
 	link.sent = time.Time{}
 	close(link.done)
@@ -459,19 +507,45 @@
 	return len(link.due) > 0 && !now.Before(link.retryAt)
 }
 
+// askFormer lets the node ask the former owner of a customer while the new one settles. A
+// node that has just joined others knows no former owner: it is the next in the order.
+func (l *Leases) askFormer(now time.Time, s *lease) {
+	s.formerAsked = true
+	node := l.view.without(s.owner.node).ownerOf(s.limit.Customer)
+	if node == "" || s.next != nil {
+		return
+	}
+	s.next, s.switchAt = s.owner, now.Add(switchTime)
+	s.owner = l.linkTo(node)
+	s.retryAt = time.Time{}
+	s.due = false
+}
+
 // errMalformed means that a reply does not match its request.
 var errMalformed = errors.New("the reply has another number of grants than the request has asks")
 
-// apply replaces the lease by one that was requested at the given time.
-func (s *lease) apply(now, sent time.Time, g zinniayoke.QuotaGrant) {
+// apply replaces the lease by one that was requested at the given time. current is false if
+// the customer has got another owner since.
+func (s *lease) apply(now, sent time.Time, g zinniayoke.QuotaGrant, current bool) {
+	if !current {
+		if g.State == zinniayoke.QuotaActive {
+			s.tokens, s.expires = max(g.Lease-s.taken, 0), sent.Add(leaseTime)
+		}
+		return
+	}
 	s.retryAt = now.Add(time.Duration(g.WaitMs) * time.Millisecond)
 	if g.State != zinniayoke.QuotaActive {
-		if s.outage.IsZero() {
-			s.outage = now
+		if s.next != nil {
+			s.switchOwner()
+			return
 		}
+		s.observeOutage(now, now)
 		return
 	}
 	s.outage, s.ownerGone = time.Time{}, false
-	s.tokens = max(g.Lease-s.taken, 0)
-	s.expires = sent.Add(leaseTime)
+	s.tokens, s.expires = max(g.Lease-s.taken, 0), sent.Add(leaseTime)
+	if g.Lease == 0 {
+		// The bucket is too low for tokens ahead of need.
+		s.aheadAt = now.Add(leaseTime)
+	}
 }
--- a/core/zyquota/limiter.go
+++ b/core/zyquota/limiter.go
@@ -45,6 +45,24 @@
 		l.limits = s.Limits
 		l.leases.Prune(s.Limits)
 	}
+	for former, r := range l.owner.Takeovers(now) {
+		go l.takeOver(former, r)
+	}
+}
+
+// takeOver asks the former owner of customers to hand them over. If it fails, their buckets
+// start empty.
+func (l *Limiter) takeOver(former zinniayoke.NodeID, r *zinniayoke.QuotaRelease) {
+	ctx, cancel := context.WithTimeout(context.Background(), leaseTime)
+	defer cancel()
+	if h, err := l.cfg.Client.ReleaseQuota(ctx, former, r); err == nil {
+		l.owner.Adopt(time.Now(), r, h)
+	}
+}
+
+// Release hands customers that this node has owned over to their new owner.
+func (l *Limiter) Release(now time.Time, r *zinniayoke.QuotaRelease) *zinniayoke.QuotaHandover {
+	return l.owner.Release(now, r)
 }
 
 // Handle grants tokens of the customers that this node owns to another node.
--- a/core/zyquota/limiter_test.go
+++ b/core/zyquota/limiter_test.go
@@ -38,6 +38,28 @@
 	}
 }
 
+// TestOwnerChange ends the node of each host and starts it again later, at the usual demand.
+// In the 10 s after each of both, at most 3% may be refused: the host that owns the customer
+// hands it over when it is replaced, and the nodes share the rate while it is gone.
+func TestOwnerChange(t *testing.T) {
+	const hosts = 10
+	for h := range hosts {
+		l := limit("c", 576, 576)
+		s := zyexperiment.NewQuotaSim(zyexperiment.QuotaConfig{Hosts: hosts, Limits: []zinniayoke.CustomerLimit{l}, Seed: 1})
+		s.Run(10 * time.Second)
+		s.Load(l.Customer, float64(l.Rate)/1.6, time.Minute, zyexperiment.AnyHost)
+		s.Run(2 * time.Second)
+		for i, change := range []func(int){s.Crash, s.Start} {
+			s.ResetCounts()
+			change(h)
+			s.Run(10 * time.Second)
+			if c := s.Counts(l.Customer); float64(c.Refused) > 0.03*float64(c.Sent) {
+				t.Errorf("%d of %d requests were refused after change %d of host %d", c.Refused, c.Sent, i, h)
+			}
+		}
+	}
+}
+
 // fakeClient passes requests for tokens to an owner. It loses them while silent is true.
 type fakeClient struct {
 	owner    *zyquota.Limiter
@@ -55,6 +77,10 @@
 	return c.owner.Handle(time.Now(), r), nil
 }
 
+func (c *fakeClient) ReleaseQuota(context.Context, zinniayoke.NodeID, *zinniayoke.QuotaRelease) (*zinniayoke.QuotaHandover, error) {
+	return &zinniayoke.QuotaHandover{}, nil
+}
+
 // pair returns the limiter of an entry node and its client, whose owner grants tokens from now
 // on. The nodes are called e and o; the limit's customer must be owned by o.
 func pair(limits ...zinniayoke.CustomerLimit) (*zyquota.Limiter, *fakeClient, func()) {
@@ -146,6 +172,25 @@
 	})
 }
 
+// TestOwnerIsLostForAMoment removes the owner from the view of the entry node and adds it
+// again. Later requests must reach it: the link to it had been dropped, and all were refused.
+func TestOwnerIsLostForAMoment(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := limit("c", 20, 20)
+		entry, _, tick := pair(l)
+		defer time.Sleep(2 * time.Second)
+		run(tick, 5*time.Second)
+		if err := entry.Take(context.Background(), l); err != nil {
+			t.Fatal(err)
+		}
+		entry.Tick(time.Now(), zyquota.Situation{View: zyquota.NewView(nil, 1, []string{"e", "o"}), Connected: true, Limits: zyquota.NewLimits([]zinniayoke.CustomerLimit{l})})
+		run(tick, 2*time.Second)
+		if err := entry.Take(context.Background(), l); err != nil {
+			t.Errorf("the owner is known again, but a request got %v", err)
+		}
+	})
+}
+
 // BenchmarkTake measures the decision on a request with a lease and one that is refused.
 func BenchmarkTake(b *testing.B) {
 	now := time.Now()
@@ -170,6 +215,10 @@
 	}
 }
 
+func (c constant) ReleaseQuota(context.Context, zinniayoke.NodeID, *zinniayoke.QuotaRelease) (*zinniayoke.QuotaHandover, error) {
+	return &zinniayoke.QuotaHandover{}, nil
+}
+
 // constant is a client that gets the same grant for each request.
 type constant zinniayoke.QuotaGrant
 
--- a/core/zyquota/owner.go
+++ b/core/zyquota/owner.go
@@ -15,7 +15,13 @@
 	// settleTime is how long a new owner waits before its buckets fill, and how long an owner
 	// waits before it grants more because hosts have returned. The former owner, or that of
 	// another part of the network, learns of the change within this time.
-	settleTime = 2 * time.Second
+	settleTime = 2500 * time.Millisecond
+	// handoverDelay is how long after it became the owner of a customer a node asks the former
+	// owner to hand it over. Until then, the other nodes have learned of the change.
+	handoverDelay = 1 * time.Second
+	// lingerTime is how long the former owner goes on granting tokens if it is not asked. It
+	// ends before the new owner's bucket fills, because news takes less than 1 s to spread.
+	lingerTime = 1500 * time.Millisecond
 	// maxTickGap is the longest time between two ticks after which a node may still own what
 	// it did: no node that responds again within it has been declared lost.
 	maxTickGap = 2 * time.Second
@@ -114,12 +120,81 @@
 		o.updateOwned(now)
 	}
 	o.updateShare(now, s)
-	for _, b := range o.buckets {
+	for c, b := range o.buckets {
+		if !b.endsAt.IsZero() && !now.Before(b.endsAt) {
+			delete(o.buckets, c)
+			continue
+		}
 		b.refill(now, o.share)
 		b.expire(now)
 	}
 }
 
+// Takeovers returns the customers that this node has owned for handoverDelay, by their former
+// owners, which are to hand them over. It returns each customer once.
+func (o *Owner) Takeovers(now time.Time) map[zinniayoke.NodeID]*zinniayoke.QuotaRelease {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var due map[zinniayoke.NodeID]*zinniayoke.QuotaRelease
+	for c, b := range o.buckets {
+		if b.former == "" || now.Sub(b.filledFrom) < handoverDelay-settleTime {
+			continue
+		}
+		if now.Before(b.filledFrom) {
+			if due == nil {
+				due = make(map[zinniayoke.NodeID]*zinniayoke.QuotaRelease)
+			}
+			if due[b.former] == nil {
+				due[b.former] = &zinniayoke.QuotaRelease{}
+			}
+			due[b.former].Customers = append(due[b.former].Customers, c)
+		}
+		b.former = ""
+	}
+	return due
+}
+
+// Release hands customers over to their new owner.
+func (o *Owner) Release(now time.Time, r *zinniayoke.QuotaRelease) *zinniayoke.QuotaHandover {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.checkPause(now)
+	h := &zinniayoke.QuotaHandover{Share: o.share}
+	for _, c := range r.Customers {
+		level := zinniayoke.QuotaLevel{}
+		if b, ok := o.buckets[c]; ok && !now.Before(b.filledFrom) {
+			b.refill(now, o.share)
+			level = zinniayoke.QuotaLevel{Owned: true, Tokens: b.level}
+			delete(o.buckets, c)
+			// If the new owner is lost before this node learns of it, this node owns the
+			// customer again without a change of its view.
+			o.view = nil
+		}
+		h.Buckets = append(h.Buckets, level)
+	}
+	return h
+}
+
+// Adopt continues the buckets that the former owner has handed over.
+func (o *Owner) Adopt(now time.Time, r *zinniayoke.QuotaRelease, h *zinniayoke.QuotaHandover) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.view == nil || len(h.Buckets) != len(r.Customers) || now.Sub(o.lastTick) > maxTickGap {
+		return
+	}
+	for i, c := range r.Customers {
+		b, ok := o.buckets[c]
+		if !ok || !h.Buckets[i].Owned || !now.Before(b.filledFrom) {
+			continue
+		}
+		o.setShare(now, max(o.share, min(h.Share, o.view.share())))
+		b.level = min(h.Buckets[i].Tokens, b.capacity(o.share))
+		b.filledFrom = now
+		// The leases that the former owner has granted are not known here.
+		b.aheadFrom = now.Add(leaseTime)
+	}
+}
+
 // checkPause empties all buckets if the process was paused for so long that other nodes may
 // have become the owners meanwhile.
 func (o *Owner) checkPause(now time.Time) {
@@ -141,14 +216,16 @@
 		b, ok := o.buckets[c]
 		switch {
 		case owned && !ok:
-			b = &bucket{limit: limit, leases: make(map[uint32]granted)}
+			b = &bucket{limit: limit, leases: make(map[uint32]granted), former: o.view.without(o.cfg.Self).ownerOf(c)}
 			b.restart(o.viewSince)
 			o.buckets[c] = b
 		case owned && b.limit != limit:
 			b.refill(now, o.share)
 			b.setLimit(limit, o.share)
-		case !owned && ok:
-			delete(o.buckets, c)
+		case owned:
+			b.endsAt = time.Time{}
+		case ok && b.endsAt.IsZero():
+			b.endsAt = now.Add(lingerTime)
 		}
 	}
 	for c := range o.buckets {
@@ -240,6 +317,13 @@
 	// while the owner settles.
 	filledFrom time.Time
 	leases     map[uint32]granted
+	// former is the owner that is to hand the customer over, "" if it was asked or there is
+	// none.
+	former zinniayoke.NodeID
+	// endsAt is when a node that is not the owner any more stops to grant; zero for the owner.
+	endsAt time.Time
+	// aheadFrom is from when on tokens are granted ahead of need.
+	aheadFrom time.Time
 }
 
 // granted is what a node got from a bucket.
@@ -338,7 +422,7 @@
 	b.level -= float64(served)
 	fresh += served
 	ahead := min(wanted-(held+fresh-needed), int(b.level-minAheadLevel*b.capacity(t.share)))
-	if waiting == served && ahead > 0 {
+	if waiting == served && ahead > 0 && !now.Before(b.aheadFrom) {
 		b.level -= float64(ahead)
 		fresh += ahead
 	}
--- a/core/zyquota/state.go
+++ b/core/zyquota/state.go
@@ -66,10 +66,12 @@
 }
 
 // Fallbacks returns the number of customers for which this node grants itself its equal share.
-func (s *State) Fallbacks() int {
+func (l *Limiter) Fallbacks(now time.Time) int {
+	l.leases.mu.Lock()
+	defer l.leases.mu.Unlock()
 	n := 0
-	for i := range s.Used {
-		if s.Used[i].Fallback {
+	for _, lease := range l.leases.leases {
+		if lease.inFallback(now) {
 			n++
 		}
 	}
--- a/core/zyquota/view.go
+++ b/core/zyquota/view.go
@@ -105,14 +105,21 @@
 	return owner
 }
 
-// fallbackRate returns the rate that this host may grant itself if the owner of the customer
-// cannot be reached: an equal share among all known hosts. Each host may save one token, so
-// if there are more hosts than tokens that may be saved together, only the first hosts in the
-// rendezvous order of the customer have a share.
-func (v *View) fallbackRate(b Bounds, l zinniayoke.CustomerLimit, host string) zinniayoke.Rate {
+// without returns the view without a node as a candidate.
+func (v *View) without(node zinniayoke.NodeID) *View {
+	w := *v
+	w.candidates = slices.DeleteFunc(slices.Clone(v.candidates), func(c candidate) bool { return c.node == node })
+	return &w
+}
+
+// fallback returns the token bucket of this host if the owner of the customer cannot be
+// reached: an equal share of the rate among all known hosts, without the burst. The buckets of
+// all hosts hold as many tokens together as the leases would, but each at least one. If that
+// is too much, only the first hosts in the rendezvous order of the customer have a share.
+func (v *View) fallback(b Bounds, l zinniayoke.CustomerLimit, host string) (rate, capacity float64) {
 	sharing := min(len(v.knownHosts), int(l.Burst+b.excess(l)*heldExcessShare))
 	if sharing == 0 {
-		return 0
+		return 0, 0
 	}
 	h := hashOf(l.Customer)
 	own, earlier := weight(hashOf(host), h), 0
@@ -122,9 +129,9 @@
 		}
 	}
 	if earlier >= sharing {
-		return 0
+		return 0, 0
 	}
-	return l.Rate / zinniayoke.Rate(sharing)
+	return float64(l.Rate) / float64(sharing), max(b.maxHeld(l)/float64(sharing), 1)
 }
 
 // share returns which part of the hosts is present.
--- a/io/zynode/customer_limits.go
+++ b/io/zynode/customer_limits.go
@@ -82,8 +82,7 @@
 
 // logFallbacks logs when this node begins and ceases to grant itself equal shares.
 func (c *customerLimits) logFallbacks(now time.Time) {
-	state := c.limiter.State(now)
-	fallbacks := state.Fallbacks()
+	fallbacks := c.limiter.Fallbacks(now)
 	switch {
 	case fallbacks > 0 && c.fallbacks == 0:
 		c.log.With("customers", fallbacks).Warn("The owners of customers cannot be reached. This node grants itself an equal share of their rates.")
@@ -145,6 +144,20 @@
 	return reply, err
 }
 
+// ReleaseQuota asks the former owner of customers to hand them over.
+func (c *customerLimits) ReleaseQuota(ctx context.Context, owner zinniayoke.NodeID, r *zinniayoke.QuotaRelease) (*zinniayoke.QuotaHandover, error) {
+	u, ok := c.view.Find(owner)
+	if !ok {
+		return nil, &UnknownNodeError{Node: owner}
+	}
+	return c.client.ReleaseQuota(ctx, u.PeerAddress, r)
+}
+
+// ReleaseQuota hands customers that this node has owned over to their new owner.
+func (p *peerService) ReleaseQuota(r *zinniayoke.QuotaRelease) *zinniayoke.QuotaHandover {
+	return p.node.customerLimits.limiter.Release(time.Now(), r)
+}
+
 // GrantQuota grants tokens of the customers that this node owns.
 func (p *peerService) GrantQuota(r *zinniayoke.QuotaRequest) *zinniayoke.QuotaReply {
 	return p.node.customerLimits.limiter.Handle(time.Now(), r)
--- a/io/zynode/node.go
+++ b/io/zynode/node.go
@@ -293,8 +293,10 @@
 	n.subscriptions = append(n.subscriptions,
 		n.timer.Every(memberSyncPeriod, func(time.Time) { n.syncRandom() }),
 		n.timer.Every(maintenancePeriod, n.maintain),
-		n.timer.Every(quotaTickPeriod, n.customerLimits.tick),
 	)
+	// Limits are kept up to date until the node closes, because it serves calls in flight
+	// while it stops.
+	n.timer.Every(quotaTickPeriod, n.customerLimits.tick)
 }
 
 // startReader begins to follow the bundle source, if there is one.
--- a/io/zynode/state.go
+++ b/io/zynode/state.go
@@ -131,8 +131,7 @@
 		return n.customerLimits.limiter.State(time.Now()).Share
 	})
 	gauge("customer_limits_fallback", "Customers for which this node grants itself an equal share, because their owner cannot be reached.", func() float64 {
-		state := n.customerLimits.limiter.State(time.Now())
-		return float64(state.Fallbacks())
+		return float64(n.customerLimits.limiter.Fallbacks(time.Now()))
 	})
 	gauge("customer_limits_messages_sent", "Requests for tokens sent to owners of customers.", func() float64 {
 		return float64(n.customerLimits.limiter.State(time.Now()).MessagesSent)
--- a/io/zypeer/client.go
+++ b/io/zypeer/client.go
@@ -377,6 +377,15 @@
 	return reply, nil
 }
 
+// ReleaseQuota asks the node at the address to hand customers over to this node.
+func (c *Client) ReleaseQuota(ctx context.Context, address string, r *zinniayoke.QuotaRelease) (*zinniayoke.QuotaHandover, error) {
+	reply := &zinniayoke.QuotaHandover{}
+	if err := c.call(ctx, address, "Release", r, reply); err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
 // Close closes all open connections.
 func (c *Client) Close() {
 	c.heartbeatTimer.Cancel()
--- a/io/zypeer/server.go
+++ b/io/zypeer/server.go
@@ -28,6 +28,7 @@
 	SyncMembers(args *SyncArgs) *SyncReply
 	ExchangeBundle(args *BundleArgs) *BundleReply
 	GrantQuota(r *zinniayoke.QuotaRequest) *zinniayoke.QuotaReply
+	ReleaseQuota(r *zinniayoke.QuotaRelease) *zinniayoke.QuotaHandover
 }
 
 // ServerConfig configures a Server.
@@ -284,6 +285,12 @@
 	return nil
 }
 
+// Release hands customers over to their new owner.
+func (m *methods) Release(args *zinniayoke.QuotaRelease, out *zinniayoke.QuotaHandover) error {
+	*out = *m.service.ReleaseQuota(args)
+	return nil
+}
+
 // quotaMethods is the service of requests for tokens.
 type quotaMethods struct {
 	service Service
--- a/message.go
+++ b/message.go
@@ -271,3 +271,22 @@
 	// QuotaNotOwner means that the node does not own the customer as far as it knows.
 	QuotaNotOwner
 )
+
+// QuotaRelease asks a node to grant no more tokens of customers that the sender owns now.
+type QuotaRelease struct {
+	Customers []Customer `codec:"c"`
+}
+
+// QuotaHandover holds the token buckets of the customers of a release, in the same order.
+type QuotaHandover struct {
+	// Share is the part of each limit that the former owner has granted.
+	Share   float64      `codec:"s"`
+	Buckets []QuotaLevel `codec:"b"`
+}
+
+// QuotaLevel is the fill level of a token bucket.
+type QuotaLevel struct {
+	// Owned is false if the node did not own the customer.
+	Owned  bool    `codec:"o"`
+	Tokens float64 `codec:"t"`
+}
--- a/platform.go
+++ b/platform.go
@@ -83,6 +83,8 @@
 	// RequestQuota asks the owner of customers for tokens. The error is ErrNotRunning if
 	// the node's process certainly does not run.
 	RequestQuota(ctx context.Context, owner NodeID, r *QuotaRequest) (*QuotaReply, error)
+	// ReleaseQuota asks the former owner of customers to hand them over.
+	ReleaseQuota(ctx context.Context, owner NodeID, r *QuotaRelease) (*QuotaHandover, error)
 }
 
 // CustomerLimit is the rate limit of a customer.
