--- a/io/zynode/state.go
+++ b/io/zynode/state.go
@@ -15,6 +15,7 @@
 	"zinniayoke/core/zyingress"
 	"zinniayoke/core/zymember"
 	"zinniayoke/core/zyquarantine"
+	"zinniayoke/core/zyquota"
 	"zinniayoke/io/zymetric"
 )
 
@@ -35,6 +36,8 @@
 	Control      ControlPlaneState          `json:"control"`
 	// Customers are those of the bundle in force.
 	Customers map[zinniayoke.Customer]CustomerState `json:"customers,omitempty"`
+	// CustomerLimits are the limits and grants of customers that this node owns or uses.
+	CustomerLimits zyquota.State `json:"customerLimits"`
 }
 
 // CustomerState is what the bundle in force says of a customer.
@@ -74,8 +77,9 @@
 		Node: n.id, Locality: n.cfg.Settings.Locality, Started: n.started, Version: n.bundle.Version(), InForceSince: n.bundle.InForceSince(),
 		Worker: n.localUpstream(), Load: n.receiver.Load(), Totals: n.meter.Totals(),
 		Members: n.view.Members(), CrashRecords: n.quarantine.Records(),
-		Keys:    KeyState{Owned: n.keyOwner.Len(), Granted: n.grants.Len(), Attempts: n.fence.Len()},
-		Control: ControlPlaneState{RecordsSkipped: n.bundle.Skipped(), ResidentBytes: residentBytes(), Goroutines: runtime.NumGoroutine(), ReadsStore: n.isReader()},
+		Keys:           KeyState{Owned: n.keyOwner.Len(), Granted: n.grants.Len(), Attempts: n.fence.Len()},
+		CustomerLimits: n.customerLimits.limiter.State(time.Now()),
+		Control:        ControlPlaneState{RecordsSkipped: n.bundle.Skipped(), ResidentBytes: residentBytes(), Goroutines: runtime.NumGoroutine(), ReadsStore: n.isReader()},
 	}
 	if bundle := n.bundle.Current(); bundle != nil {
 		s.Hash = bundle.Hash
@@ -135,6 +139,18 @@
 	gauge("control_bytes_sent", "Bytes of membership packets sent.", func() float64 {
 		return float64(n.State().Control.BytesSent)
 	})
+	gauge("customer_limits_owned", "Customers whose rate limit this node keeps.", func() float64 {
+		return float64(len(n.customerLimits.limiter.State(time.Now()).Owned))
+	})
+	gauge("customer_limits_share", "Part of each customer's rate that this node grants, by the hosts that it can reach.", func() float64 {
+		return n.customerLimits.limiter.State(time.Now()).Share
+	})
+	gauge("customer_limits_fallback", "Customers for which this node grants itself an equal share, because their owner cannot be reached.", func() float64 {
+		return float64(n.customerLimits.limiter.Fallbacks(time.Now()))
+	})
+	gauge("customer_limits_messages_sent", "Requests for tokens sent to owners of customers.", func() float64 {
+		return float64(n.customerLimits.limiter.State(time.Now()).MessagesSent)
+	})
 	gauge("reads_store", "1 while the node reads the store for its failure domain.", func() float64 {
 		if n.isReader() {
 			return 1
