zinniayoke: the customer is the last field of calls and attempts

Cause: peers encode calls and attempts as MessagePack arrays, by position. The customer was inserted after the caller, so that a node of the version before would have read the service of an attempt as its route, and the other way round, while nodes are upgraded one after the other. Change: the field is last, where earlier versions skip it and its absence reads as none.

--- a/message.go
+++ b/message.go
@@ -8,15 +8,13 @@
 	Value string `codec:"v"`
 }
 
-// Call is a caller's request as it passes through the filters of a node.
+// Call is a caller's request as it passes through the filters of a node. Peers of earlier
+// versions decode it by the position of its fields, so new ones go to the end.
 type Call struct {
 	Request RequestID
 	Caller  Caller
-	// Customer is the customer whose key the request carried, "" for none and for calls of
-	// workers.
-	Customer Customer
-	Service  Service
-	Method   string
+	Service Service
+	Method  string
 	// Host is the host named by the caller, "" if routing does not need it.
 	Host     string
 	Path     string
@@ -45,15 +43,18 @@
 	// EarlierCalls is how many calls the run that makes this one has made before, as far
 	// as known.
 	EarlierCalls int
+	// Customer is the customer whose key the request carried, "" for none and for calls of
+	// workers.
+	Customer Customer
 }
 
 // Attempt is one send of a call to the node of a worker.
-// Its zero value is not valid: ID, Request, Service and Method are required.
+// Its zero value is not valid: ID, Request, Service and Method are required. Peers of earlier
+// versions decode it by the position of its fields, so new ones go to the end.
 type Attempt struct {
 	ID       AttemptID     `codec:"id"`
 	Request  RequestID     `codec:"rq"`
 	Caller   Caller        `codec:"ca"`
-	Customer Customer      `codec:"cu"`
 	Service  Service       `codec:"sv"`
 	Route    RouteName     `codec:"ro"`
 	Method   string        `codec:"me"`
@@ -89,6 +90,8 @@
 	// Heard is what the sender has heard of the worker in earlier replies, nil if nothing.
 	// The node of the worker may have started again since, and know less.
 	Heard *HeardNotice `codec:"no"`
+	// Customer is that of the call.
+	Customer Customer `codec:"cu"`
 }
 
 // Grant is the permission to run an idempotency key once, issued by the owner of
@@ -137,7 +140,8 @@
 	Attempt AttemptID `codec:"at"`
 }
 
-// Reply is a node's reply to an attempt.
+// Reply is a node's reply to an attempt. Peers of earlier versions decode it by the position of
+// its fields, so new ones go to the end.
 type Reply struct {
 	Attempt AttemptID `codec:"id"`
 	Request RequestID `codec:"rq"`
