io/zypeer: attempts run in goroutines that are used again

Cause: net/rpc starts a goroutine for each attempt. Its stack of 2 KiB is copied on the way to the worker, at a depth of some 20 frames: 4% of the processor time of a call, most of it seen in a map access of zygraph.CallerClassifier. The goroutine itself takes 3%, the call by reflection 1%. Change: with frames, the server reads the requests itself and passes attempts to goroutines that have run one before, at most 256 that wait; other methods go through rpc.Server.ServeRequest one by one. A connection still ends after the replies to its requests, and Drain counts as before.

--- a/io/zypeer/frame.go
+++ b/io/zypeer/frame.go
@@ -43,8 +43,8 @@
 
 // frameConn exchanges RPC messages as frames, protocolFrames of the handshake: a length, the
 // header and the argument or reply. An Attempt or a Reply is encoded by its list of fields,
-// with the body after them; others are MessagePack. It implements rpc.ServerCodec and
-// rpc.ClientCodec. Reads must not be concurrent with each other, nor writes.
+// with the body after them; others are MessagePack. It implements rpc.ClientCodec and the
+// methods of rpc.ServerCodec. Reads must not be concurrent with each other, nor writes.
 type frameConn struct {
 	conn net.Conn
 	r    *bufio.Reader
@@ -277,6 +277,9 @@
 		f.out = appendSized(f.out, attemptFields, v)
 		rest = v.Body
 	case *zinniayoke.Reply:
+		if v == nil {
+			break
+		}
 		f.out = appendSized(f.out, replyFields, v)
 		if v.Response != nil {
 			rest = v.Response.Body
--- a/io/zypeer/server.go
+++ b/io/zypeer/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ugorji/go/codec"
@@ -53,6 +54,10 @@
 	conns    map[net.Conn]bool
 	closed   bool
 	handlers sync.WaitGroup
+	// runs passes attempts to goroutines that have run one before; idleRunners is how many
+	// wait there.
+	runs        chan *run
+	idleRunners atomic.Int32
 	// pendingReplies is the number of attempts whose reply has not been written yet.
 	// idle is nil unless Drain waits; it is closed when no reply is pending.
 	pendingReplies int
@@ -114,7 +119,7 @@
 
 // NewServer returns a server that does not accept connections until Serve is called.
 func NewServer(cfg ServerConfig) (*Server, error) {
-	s := &Server{cfg: cfg, rpc: rpc.NewServer(), conns: make(map[net.Conn]bool)}
+	s := &Server{cfg: cfg, rpc: rpc.NewServer(), conns: make(map[net.Conn]bool), runs: make(chan *run)}
 	if err := s.rpc.RegisterName(serviceName, &methods{service: cfg.Service}); err != nil {
 		return nil, fmt.Errorf("register RPC service %q: %w", serviceName, err)
 	}
@@ -151,11 +156,11 @@
 		return
 	}
 	_ = conn.SetDeadline(time.Time{})
-	var messages rpc.ServerCodec = newFrameConn(conn)
-	if protocol == protocolMsgpack {
-		messages = codec.GoRpc.ServerCodec(newBufferedConn(conn), rpcHandle())
+	if protocol != protocolMsgpack {
+		s.serveFrames(conn)
+		return
 	}
-	s.rpc.ServeCodec(&replyCodec{ServerCodec: messages, server: s})
+	s.rpc.ServeCodec(&replyCodec{ServerCodec: codec.GoRpc.ServerCodec(newBufferedConn(conn), rpcHandle()), server: s})
 }
 
 func rpcHandle() *codec.MsgpackHandle {
@@ -188,12 +193,16 @@
 func (s *Server) Close() {
 	_ = s.cfg.Listener.Close()
 	s.mu.Lock()
+	first := !s.closed
 	s.closed = true
 	for conn := range s.conns {
 		_ = conn.Close()
 	}
 	s.mu.Unlock()
 	s.handlers.Wait()
+	if first {
+		close(s.runs) // No connection is left that could send to it.
+	}
 }
 
 // methods adapts a Service to the signatures that net/rpc requires. The names of its
--- a/io/zypeer/wire_test.go
+++ b/io/zypeer/wire_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math"
 	"net"
@@ -342,3 +343,48 @@
 		})
 	}
 }
+
+// TestManyRequestsOnOneConnection has more attempts in flight than goroutines are kept for,
+// between other requests and some that cannot be decoded. Each must get its own reply.
+func TestManyRequestsOnOneConnection(t *testing.T) {
+	key := bytes.Repeat([]byte{1}, messageSize)
+	server, err := NewServer(ServerConfig{Key: key, Service: versionService{}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	near, far := net.Pipe()
+	server.handlers.Add(1)
+	go server.serveConn(far)
+	c := &Client{cfg: ClientConfig{Key: key, Dial: func(context.Context, string) (net.Conn, error) { return near, nil }}}
+	_, client, err := c.open(context.Background(), "server")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 3 {
+		var calls []*rpc.Call
+		for i := range 2 * maxIdleRunners {
+			id := fmt.Sprint(i)
+			calls = append(calls,
+				client.Go(runMethod, &zinniayoke.Attempt{ID: zinniayoke.AttemptID(id), Service: zinniayoke.Service(id)}, &zinniayoke.Reply{}, nil),
+				client.Go(serviceName+".Ping", &Empty{}, &Empty{}, nil),
+				client.Go(serviceName+".Unknown", &Empty{}, &Empty{}, nil),
+				client.Go(runMethod, &KeyArgs{Key: "no attempt"}, &zinniayoke.Reply{}, nil))
+		}
+		for i, call := range calls {
+			<-call.Done
+			id := fmt.Sprint(i / 4)
+			reply, _ := call.Reply.(*zinniayoke.Reply)
+			switch valid := i%4 < 2; {
+			case valid != (call.Error == nil):
+				t.Fatalf("%s: error %v", call.ServiceMethod, call.Error)
+			case i%4 == 0 && (reply.Attempt != zinniayoke.AttemptID(id) || reply.Detail != id+" "):
+				t.Fatalf("attempt %s got the reply %+v", id, reply)
+			}
+		}
+	}
+	_ = client.Close()
+	server.handlers.Wait()
+	if server.pendingReplies != 0 {
+		t.Errorf("%d replies are pending at the end", server.pendingReplies)
+	}
+}
