--- a/io/zypeer/wire.go
+++ b/io/zypeer/wire.go
@@ -64,6 +64,7 @@
 	boolean(func(r *zinniayoke.Reply) *bool { return &r.CalledByWorkers }),
 	list(costFields, func(r *zinniayoke.Reply) *[]zinniayoke.ServiceCost { return &r.Costs }),
 	pointer(heardFields, func(r *zinniayoke.Reply) **zinniayoke.HeardNotice { return &r.Heard }),
+	boolean(func(r *zinniayoke.Reply) *bool { return &r.WorkerError }),
 }
 
 var headerFields = []field[zinniayoke.Header]{
