core/zyadmission: fair queuing over customers

Cause: one customer that fills the admission queue makes the calls of all others wait and expire. Attempts carry the customer to whose share they count (Share), for calls of workers that of the presumed parent; Customer stays empty for these. Waiting calls of equal importance and depth, with waits that differ by less than two times, start by fair queuing: the chosen call takes the place of the earliest one, so that the classes start in the order as before. What overflows is the last call of the customer with the most waiting calls for its weight.

--- a/core/zyadmission/queue.go
+++ b/core/zyadmission/queue.go
@@ -7,6 +7,7 @@
 	"github.com/google/btree"
 
 	"zinniayoke"
+	"zinniayoke/core/zyfairshare"
 	"zinniayoke/core/zyrank"
 )
 
@@ -18,10 +19,14 @@
 	Depth    int
 	Deadline time.Time
 	// MaxWait limits how long the item may wait; 0 means the default of 100 ms.
-	MaxWait  time.Duration
+	MaxWait time.Duration
+	// Customer is the zero value in bundles without customers.
+	Customer zyfairshare.Customer
 	arrived  time.Time
 	started  time.Time
 	sequence uint64
+	// place orders the item among the waiting ones.
+	place place
 }
 
 // Refusal is an item that was refused, and the reason.
@@ -80,12 +85,16 @@
 // attempt. It is not safe for concurrent use. A Queue must be created with
 // NewQueue.
 type Queue struct {
-	cfg          Config
-	limit        *Limit
-	threshold    *Threshold
-	running      map[zinniayoke.AttemptID]Item
-	waiting      map[zinniayoke.AttemptID]Item
-	tree         *btree.BTreeG[Item]
+	cfg       Config
+	limit     *Limit
+	threshold *Threshold
+	running   map[zinniayoke.AttemptID]Item
+	waiting   map[zinniayoke.AttemptID]Item
+	tree      *btree.BTreeG[Item]
+	// less is the order of the tree.
+	less func(a, b place) bool
+	// fair holds those waiting items that have a customer.
+	fair         fairQueue
 	sequence     uint64
 	serviceTimes map[zinniayoke.RouteName]routeTime
 	// meanServiceTime is the average over the calls of all routes.
@@ -108,7 +117,8 @@
 		threshold:    NewThreshold(),
 		running:      make(map[zinniayoke.AttemptID]Item),
 		waiting:      make(map[zinniayoke.AttemptID]Item),
-		tree:         btree.NewG(btreeDegree, order),
+		tree:         btree.NewG(btreeDegree, func(a, b Item) bool { return order(a.place, b.place) }),
+		less:         order,
 		serviceTimes: make(map[zinniayoke.RouteName]routeTime),
 	}
 }
@@ -117,9 +127,10 @@
 // maximum wait that their importance leaves them. A worker's call, which may wait long,
 // is overtaken by short calls of callers and by calls of more important requests, but
 // only for a bounded time. The first item starts next; the last one is refused first.
-func lessByWaitDeadline(a, b Item) bool {
-	if x, y := a.arrived.Add(a.orderedWait()), b.arrived.Add(b.orderedWait()); !x.Equal(y) {
-		return x.Before(y)
+// Bundles with customers change this among the items of a class.
+func lessByWaitDeadline(a, b place) bool {
+	if !a.due.Equal(b.due) {
+		return a.due.Before(b.due)
 	}
 	return lessByRank(a, b)
 }
@@ -143,17 +154,26 @@
 	return wait * time.Duration(step) / importanceSteps
 }
 
+// ownPlace returns the place of an item in the order of arrival.
+func (q *Queue) ownPlace(i *Item) place {
+	p := place{rank: i.Rank, depth: i.Depth, sequence: i.sequence}
+	if q.cfg.ByWaitDeadline {
+		p.due = i.arrived.Add(i.orderedWait())
+	}
+	return p
+}
+
 // lessByRank orders items by descending rank. Among ranks that differ only in
 // their hash, deeper calls go first, because more work has been spent on them.
-func lessByRank(a, b Item) bool {
-	if a.Rank>>hashBits != b.Rank>>hashBits {
-		return a.Rank>>hashBits > b.Rank>>hashBits
+func lessByRank(a, b place) bool {
+	if a.rank>>hashBits != b.rank>>hashBits {
+		return a.rank>>hashBits > b.rank>>hashBits
 	}
-	if a.Depth != b.Depth {
-		return a.Depth > b.Depth
+	if a.depth != b.depth {
+		return a.depth > b.depth
 	}
-	if a.Rank != b.Rank {
-		return a.Rank > b.Rank
+	if a.rank != b.rank {
+		return a.rank > b.rank
 	}
 	return a.sequence < b.sequence
 }
@@ -231,6 +251,7 @@
 	q.sequence++
 	item.sequence = q.sequence
 	item.arrived = now
+	item.place = q.ownPlace(&item)
 	q.threshold.CountArrival(now, item.Rank)
 	if q.missesDeadline(now, item) {
 		res.Refused = append(res.Refused, Refusal{Item: item, Reason: zinniayoke.ReasonDeadline})
@@ -241,13 +262,11 @@
 		res.Refused = append(res.Refused, Refusal{Item: item, Reason: zinniayoke.ReasonShed})
 		return res
 	}
-	q.enqueue(item)
+	q.enqueue(now, item)
 	q.startWaiting(now, &res)
 	for len(q.waiting) > q.maxLength() {
-		last, _ := q.tree.DeleteMax()
-		delete(q.waiting, last.ID)
 		q.threshold.CountShed(now)
-		res.Refused = append(res.Refused, Refusal{Item: last, Reason: zinniayoke.ReasonShed})
+		res.Refused = append(res.Refused, Refusal{Item: q.takeOverflow(), Reason: zinniayoke.ReasonShed})
 	}
 	return res
 }
@@ -287,6 +306,9 @@
 	}
 	delete(q.waiting, id)
 	q.tree.Delete(item)
+	if item.Customer.Weight > 0 {
+		q.fair.remove(q.classOf(&item), &item)
+	}
 	return true
 }
 
@@ -334,9 +356,14 @@
 	res.Refused = append(res.Refused, Refusal{Item: item, Reason: reason})
 }
 
-func (q *Queue) enqueue(item Item) {
+func (q *Queue) enqueue(now time.Time, item Item) {
+	// An item that starts at once needs no fair order.
+	startsNow := len(q.waiting) == 0 && len(q.running) < q.Limit() && q.rateLimit.Allows(now)
 	q.waiting[item.ID] = item
 	q.tree.ReplaceOrInsert(item)
+	if item.Customer.Weight > 0 && !startsNow {
+		q.fair.add(q.classOf(&item), &item, q.less)
+	}
 }
 
 // startWaiting starts waiting items in order while the concurrency limit and the rate
@@ -345,11 +372,10 @@
 	limit := q.Limit()
 	defer func() { q.threshold.SetUtilization(now, q.Utilization(now)) }()
 	for len(q.running) < limit && q.rateLimit.Allows(now) {
-		item, ok := q.tree.DeleteMin()
+		item, ok := q.takeFirst(now)
 		if !ok {
 			return
 		}
-		delete(q.waiting, item.ID)
 		if q.missesDeadline(now, item) {
 			res.Refused = append(res.Refused, Refusal{Item: item, Reason: zinniayoke.ReasonDeadline})
 			continue
@@ -371,11 +397,7 @@
 	if item.MaxWait == 0 || !full && q.rateLimit == nil {
 		return false
 	}
-	ahead := 0
-	q.tree.AscendLessThan(item, func(Item) bool {
-		ahead++
-		return true
-	})
+	ahead := q.countAhead(&item)
 	wait := q.rateLimit.Wait(now, ahead+1)
 	if full {
 		wait = max(wait, time.Duration(ahead+1)*q.meanServiceTime/time.Duration(q.Limit()))
--- a/core/zybundle/bundle.go
+++ b/core/zybundle/bundle.go
@@ -65,7 +65,9 @@
 	// least important.
 	customerPriorities []int
 	classImportances   []int
-	muxByService       map[zinniayoke.Service]*http.ServeMux
+	// medianRate is the weight of customers without a limit.
+	medianRate   float64
+	muxByService map[zinniayoke.Service]*http.ServeMux
 	// routesByHost holds the routes that are selected by host and path prefix.
 	routesByHost map[string]*hostRoutes
 	// Limits apply to all callers.
--- a/core/zybundle/customer.go
+++ b/core/zybundle/customer.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"zinniayoke"
+	"zinniayoke/core/zyfairshare"
 	"zinniayoke/core/zyrank"
 )
 
@@ -91,9 +92,44 @@
 	return max(zyrank.MaxRootImportance-level*len(b.classImportances)-step, 0)
 }
 
+// ShareOf returns the customer as far as sharing is concerned, the zero value in a bundle
+// without customers. The weight is the rate of the limit, for customers without a limit the
+// median of the others. Calls without a customer share as one customer of the highest
+// priority.
+func (b *Bundle) ShareOf(name zinniayoke.Customer) zyfairshare.Customer {
+	if len(b.Customers) == 0 {
+		return zyfairshare.Customer{}
+	}
+	share := zyfairshare.Customer{Weight: b.medianRate}
+	if c, ok := b.Customers[name]; ok {
+		share.Name, share.Level = name, slices.Index(b.customerPriorities, c.Priority)
+		if c.Limit.Rate > 0 {
+			share.Weight = float64(c.Limit.Rate)
+		}
+	}
+	return share
+}
+
+// setMedianRate sets the weight of customers without a limit.
+func (b *Bundle) setMedianRate() {
+	var rates []float64
+	for _, c := range b.Customers {
+		if c.Limit.Rate > 0 {
+			rates = append(rates, float64(c.Limit.Rate))
+		}
+	}
+	slices.Sort(rates)
+	b.medianRate = 1
+	if len(rates) > 0 {
+		b.medianRate = rates[len(rates)/2]
+	}
+}
+
 // orderImportances collects the priorities of customers and the importances of classes,
-// each from the most to the least important, for Importance.
+// each from the most to the least important, for Importance, and sets the median rate, for
+// ShareOf.
 func (b *Bundle) orderImportances() {
+	b.setMedianRate()
 	for _, c := range b.Customers {
 		b.customerPriorities = append(b.customerPriorities, c.Priority)
 	}
--- a/core/zyegress/sender.go
+++ b/core/zyegress/sender.go
@@ -281,7 +281,7 @@
 func (s *Sender) newAttempt(f *sendState, share zinniayoke.Tokens) *zinniayoke.Attempt {
 	c := f.Call
 	return &zinniayoke.Attempt{
-		ID: s.cfg.NewID(), Request: c.Request, Caller: c.Caller, Customer: c.Customer, Service: c.Service, Route: c.Route,
+		ID: s.cfg.NewID(), Request: c.Request, Caller: c.Caller, Customer: c.Customer, Share: c.Share, Service: c.Service, Route: c.Route,
 		Method: c.Method, Host: c.Host, Path: c.Path, Query: c.Query, Headers: c.Headers, Body: c.Body,
 		BodyHash: c.BodyHash, Key: c.Key, Grant: f.Grant, Rank: c.Rank, Timeout: time.Until(c.Deadline),
 		Tokens: share, Depth: c.Depth, Version: c.Version, MaxWait: c.MaxWait,
--- a/core/zyentry/child.go
+++ b/core/zyentry/child.go
@@ -80,6 +80,7 @@
 	cs.parent = parent
 	cs.call.Request = parent.Request
 	cs.call.Caller = parent.Caller
+	cs.call.Share = parent.Share
 	cs.call.Rank = parent.Rank
 	cs.call.Depth = parent.Depth + 1
 	cs.call.Version = parent.Version
@@ -126,6 +127,7 @@
 	// The rank of the root request goes down the chain of calls, so that all of them are
 	// preferred alike.
 	presumed := cs.chain.Parent()
+	c.Share = presumed.Share
 	c.InRepeatedRun = presumed.Repeated
 	c.EarlierCalls = cs.chain.Ended()
 	c.Depth = presumed.Depth + 1
--- a/core/zyingress/admission.go
+++ b/core/zyingress/admission.go
@@ -7,6 +7,7 @@
 	"zinniayoke"
 	"zinniayoke/core/zyadmission"
 	"zinniayoke/core/zyattempt"
+	"zinniayoke/core/zyfairshare"
 	"zinniayoke/core/zyquarantine"
 )
 
@@ -55,11 +56,20 @@
 	item := zyadmission.Item{
 		ID: c.attempt.ID, Route: c.attempt.Route, Rank: c.attempt.Rank,
 		Depth: c.attempt.Depth, Deadline: now.Add(c.attempt.Timeout), MaxWait: c.attempt.MaxWait,
+		Customer: r.shareOf(c.attempt),
 	}
 	r.applyResult(now, r.queue.Arrive(now, item))
 	return r.worker, nil
 }
 
+// shareOf returns the customer of an attempt, the zero value in bundles without customers.
+func (r *Receiver) shareOf(a *zinniayoke.Attempt) zyfairshare.Customer {
+	if bundle := r.cfg.Bundle(); bundle != nil {
+		return bundle.ShareOf(a.Share)
+	}
+	return zyfairshare.Customer{}
+}
+
 // chargeRetry counts the attempt for the retry budget of the worker's service, and
 // returns an error if it is a retry that the budget does not allow.
 func (r *Receiver) chargeRetry(now time.Time, a *zinniayoke.Attempt) error {
--- a/core/zyingress/receiver.go
+++ b/core/zyingress/receiver.go
@@ -178,7 +178,7 @@
 func (r *Receiver) deliver(ctx context.Context, c *activeCall, worker zinniayoke.Worker) *zinniayoke.Reply {
 	a := c.attempt
 	parent := &zyparent.Parent{
-		Request: a.Request, Caller: a.Caller, Route: a.Route, Key: a.Key, Rank: a.Rank, Depth: a.Depth, Version: a.Version,
+		Request: a.Request, Caller: a.Caller, Share: a.Share, Route: a.Route, Key: a.Key, Rank: a.Rank, Depth: a.Depth, Version: a.Version,
 		Deadline: c.arrived.Add(a.Timeout), Budget: zyattempt.NewBudget(a.Tokens, a.Tokens), Done: ctx.Done(),
 		Repeated: a.Resent || a.InRepeatedRun,
 	}
--- a/core/zyparent/table.go
+++ b/core/zyparent/table.go
@@ -15,8 +15,11 @@
 
 // Parent is a running call whose worker may make child calls.
 type Parent struct {
-	Request  zinniayoke.RequestID
-	Caller   zinniayoke.Caller
+	Request zinniayoke.RequestID
+	Caller  zinniayoke.Caller
+	// Share is the customer to whose share of the capacity the call and its child calls
+	// count.
+	Share    zinniayoke.Customer
 	Route    zinniayoke.RouteName
 	Key      zinniayoke.Key
 	Rank     zinniayoke.Rank
--- a/message.go
+++ b/message.go
@@ -15,8 +15,11 @@
 	// Customer is the customer whose key the request carried, "" for none and for calls of
 	// workers.
 	Customer Customer
-	Service  Service
-	Method   string
+	// Share is the customer to whose share of the capacity the call counts: Customer, or
+	// for the call of a worker that of the presumed parent.
+	Share   Customer
+	Service Service
+	Method  string
 	// Host is the host named by the caller, "" if routing does not need it.
 	Host     string
 	Path     string
@@ -89,6 +92,9 @@
 	// Heard is what the sender has heard of the worker in earlier replies, nil if nothing.
 	// The node of the worker may have started again since, and know less.
 	Heard *HeardNotice `codec:"no"`
+	// Share is the customer to whose share of the capacity the attempt counts. Unlike
+	// Customer, it is not told to the worker, and is set for calls of workers too.
+	Share Customer `codec:"sh"`
 }
 
 // Grant is the permission to run an idempotency key once, issued by the owner of
