core/zybackpressure: the refused share falls on customers above their fair share

Cause: an entry node refused the same share of all customers' calls of a route, so that one customer that multiplied its rate took capacity from the others. With customers in the bundle, the demand that has to be refused is the same as before, but it is divided by zyfairshare, and within a customer its least important routes go first. A retry of a refused call takes precedence within the customer's share.

--- a/core/zybackpressure/shedder.go
+++ b/core/zybackpressure/shedder.go
@@ -40,6 +40,8 @@
 	shares map[zinniayoke.Service]reportedShare
 	// refusals holds recently refused calls, so that their retries get priority.
 	refusals *refusalLog
+	// customers is empty in bundles without customers.
+	customers customerTable
 }
 
 // routeState is what an entry node knows about a route.
@@ -68,6 +70,7 @@
 func NewShedder() *Shedder {
 	return &Shedder{
 		routes: make(map[zinniayoke.RouteName]*routeState), shares: make(map[zinniayoke.Service]reportedShare), refusals: newRefusalLog(),
+		customers: customerTable{byName: make(map[zinniayoke.Customer]*customerState)},
 	}
 }
 
@@ -126,30 +129,49 @@
 func (s *Shedder) Admit(now time.Time, route *zybundle.Route, id zinniayoke.RequestID, content uint64) Decision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	r := s.countCall(now, route)
+	if r == nil {
+		return Decision{Admitted: true}
+	}
+	return s.admit(now, r, id, content)
+}
+
+// countCall counts a call of the route. It returns nil if the table is full. s.mu must be
+// held.
+func (s *Shedder) countCall(now time.Time, route *zybundle.Route) *routeState {
 	r, ok := s.routes[route.Name]
 	if !ok {
 		if len(s.routes) >= maxRoutes {
-			return Decision{Admitted: true}
+			return nil
 		}
 		r = &routeState{windowStart: now}
 		s.routes[route.Name] = r
 	}
 	r.importance = route.Class.Importance
 	r.countCall(now)
+	return r
+}
+
+// admit decides by the refused share of the route. s.mu must be held.
+func (s *Shedder) admit(now time.Time, r *routeState, id zinniayoke.RequestID, content uint64) Decision {
 	if now.Sub(r.decidedAt) >= decisionPeriod {
 		r.decidedAt, r.decision = now, s.decide(now, r)
 	}
 	d := r.decision
 	d.Retry = s.refusals.take(now, content)
-	const scale = 1 << 20
-	point := float64(xxhash.Sum64String(string(id))%scale) / scale
-	d.Admitted = point >= d.RefusedShare || d.Retry && d.RefusedShare < maxShareFavoringRetries
+	d.Admitted = pointOf(id) >= d.RefusedShare || d.Retry && d.RefusedShare < maxShareFavoringRetries
 	if !d.Admitted {
 		s.refusals.add(now, content)
 	}
 	return d
 }
 
+// pointOf returns a point from 0 to 1 that depends on the request only.
+func pointOf(id zinniayoke.RequestID) float64 {
+	const scale = 1 << 20
+	return float64(xxhash.Sum64String(string(id))%scale) / scale
+}
+
 // RecordRefusal records a call that was admitted here but refused deeper in the
 // call graph, so that its retry takes precedence over new calls.
 func (s *Shedder) RecordRefusal(now time.Time, content uint64) {
--- a/core/zyentry/filter.go
+++ b/core/zyentry/filter.go
@@ -124,6 +124,7 @@
 	if cs.parent == nil {
 		c.MaxWait = time.Duration(rootMaxWaitShare * float64(cs.route.Objective))
 		c.Version = cs.bundle.Version
+		c.Share = c.Customer
 		share := e.cfg.Shares.Observe(time.Now(), cs.caller.Name)
 		c.Rank = zyrank.New(cs.bundle.Importance(c.Customer, cs.route), cs.caller.Urgency, share, c.Request)
 	}
@@ -228,7 +229,7 @@
 	if cs.fromWorker {
 		return nil
 	}
-	decision := e.cfg.Shedder.Admit(now, cs.route, cs.call.Request, cs.call.BodyHash)
+	decision := e.cfg.Shedder.AdmitFor(now, cs.route, cs.bundle.ShareOf(cs.call.Share), cs.call.Request, cs.call.BodyHash)
 	if decision.Admitted {
 		if decision.Retry {
 			cs.call.MaxWait *= retryMaxWaitFactor
