core/zybackpressure: judge a customer by its other calls

Cause: a customer that rarely calls was counted with the very call that is decided, so it looked like many times its rate; one whose calls began after the last plan was admitted whatever its route's share. The plan is made before the call is counted, and without one the route's share holds. With that, a prior of one call does, which finds customers above their share sooner.

--- a/core/zybackpressure/customers.go
+++ b/core/zybackpressure/customers.go
@@ -69,8 +69,9 @@
 	// count is the number of calls, each weighted by its age.
 	count     float64
 	countedAt time.Time
-	// decision is as of the last plan.
+	// decision is as of the last plan. It is not valid unless planned is true.
 	decision Decision
+	planned  bool
 }
 
 // usedFlow is a flow that uses the service for which a plan is made.
@@ -99,6 +100,12 @@
 	if r == nil {
 		return Decision{Admitted: true}
 	}
+	excess := s.hasExcess(now, r)
+	if excess && now.Sub(s.customers.plannedAt) >= planPeriod {
+		// Before the call is counted: a customer is judged by its other calls, or each call of
+		// one that rarely calls would look like many times its rate.
+		s.plan(now)
+	}
 	c, f := s.customers.flowOf(route.Name, r, customer)
 	if f == nil {
 		return s.admit(now, r, id, content)
@@ -106,13 +113,13 @@
 	f.count, f.countedAt = f.countAt(now)+1, now
 	retry := s.refusals.take(now, content)
 	c.countCall(now, retry)
-	if !s.hasExcess(now, r) {
+	if !excess {
 		return Decision{Admitted: true, Retry: retry}
 	}
-	if now.Sub(s.customers.plannedAt) >= planPeriod {
-		s.plan(now)
-	}
 	d := f.decision
+	if !f.planned {
+		d = s.routeDecision(now, r)
+	}
 	d.Retry = retry
 	d.Admitted = c.admit(now, d, pointOf(id))
 	if !d.Admitted {
@@ -219,7 +226,7 @@
 	t.forgetUnused(now)
 	for _, c := range t.list {
 		for _, f := range c.flows {
-			f.decision = Decision{}
+			f.decision, f.planned = Decision{}, true
 		}
 	}
 	for service := range s.shares {
@@ -270,7 +277,9 @@
 			}
 		}
 		if len(t.used) > n {
-			t.claims = append(t.claims, zyfairshare.Claim{Customer: c.share, Index: len(t.claims), RetriedShare: c.retries / c.count})
+			t.claims = append(t.claims, zyfairshare.Claim{
+				Customer: c.share, Index: len(t.claims), RetriedShare: c.retries / c.count,
+			})
 		}
 	}
 	for i := range t.used {
--- a/core/zybackpressure/shedder.go
+++ b/core/zybackpressure/shedder.go
@@ -154,10 +154,7 @@
 
 // admit decides by the refused share of the route. s.mu must be held.
 func (s *Shedder) admit(now time.Time, r *routeState, id zinniayoke.RequestID, content uint64) Decision {
-	if now.Sub(r.decidedAt) >= decisionPeriod {
-		r.decidedAt, r.decision = now, s.decide(now, r)
-	}
-	d := r.decision
+	d := s.routeDecision(now, r)
 	d.Retry = s.refusals.take(now, content)
 	d.Admitted = pointOf(id) >= d.RefusedShare || d.Retry && d.RefusedShare < maxShareFavoringRetries
 	if !d.Admitted {
@@ -166,6 +163,14 @@
 	return d
 }
 
+// routeDecision returns the refused share of the route. s.mu must be held.
+func (s *Shedder) routeDecision(now time.Time, r *routeState) Decision {
+	if now.Sub(r.decidedAt) >= decisionPeriod {
+		r.decidedAt, r.decision = now, s.decide(now, r)
+	}
+	return r.decision
+}
+
 // pointOf returns a point from 0 to 1 that depends on the request only.
 func pointOf(id zinniayoke.RequestID) float64 {
 	const scale = 1 << 20
--- a/core/zyfairshare/share.go
+++ b/core/zyfairshare/share.go
@@ -29,7 +29,7 @@
 	// one expected for its weight. At 20 calls a second in a node with 82 customers, a
 	// small customer sends one call in a minute, which would look like many times its
 	// rate.
-	priorCalls = 2
+	priorCalls = 1
 	// entitledMultiple is the multiple of the median usage for the weight up to which a
 	// customer's demand precedes that of lower levels. What goes beyond is refused
 	// first on every level, so that a customer of a high priority that multiplies its rate
