core/zyattempt: one customer cannot use up the retries of the others

Cause: the retry budget of a service is shared by all customers, so that the clients of one that retry immediately and often take what the others would use. In each period of 500 ms, a customer has an allowance: 1.25 times what others ask for by weight, two standard deviations and one retry. Within it nothing changes: precedence, cutoff and pace are those of the service. Beyond it, retries get only the places that the others are not expected to use, not the reserve, and do not raise the cutoff.

--- a/core/zyattempt/service_retry.go
+++ b/core/zyattempt/service_retry.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"zinniayoke"
+	"zinniayoke/core/zyfairshare"
 	"zinniayoke/core/zyrank"
 )
 
@@ -110,6 +111,9 @@
 	// places is how many retries the period is meant to have, and granted how many it
 	// has had.
 	places, granted int
+
+	// customers is empty in bundles without customers.
+	customers customerRetries
 }
 
 // NewServiceRetryBudgets returns budgets without any recorded sends.
@@ -148,25 +152,35 @@
 
 // Spend takes one retry and reports whether the budget allows it.
 func (b *ServiceRetryBudgets) Spend(now time.Time, service zinniayoke.Service, p Precedence) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	c := b.countsFor(now, service)
-	if c == nil {
-		return false
-	}
-	allowed, retries := b.allowed(c), c.retryCount()
-	if now.Sub(c.periodStart) >= cutoffPeriod {
-		c.setCutoff(now, allowed, retries, b.cfg.Window)
-	}
+	return b.SpendFor(now, service, zyfairshare.Customer{}, p)
+}
+
+// spend takes one retry if the budget allows it.
+func (c *sendCounts) spend(allowed float64, retries int, p Precedence) bool {
 	if len(c.asked) < maxSamples {
 		c.asked = append(c.asked, p)
 	}
 	if p < c.cutoff || c.granted >= c.places && p < FirstPrecedence || float64(retries+1) > allowed {
 		return false
 	}
+	c.charge()
+	return true
+}
+
+// charge counts a retry that is granted.
+func (c *sendCounts) charge() {
 	c.granted++
 	c.retries[c.bucket%(bucketCount+1)]++
-	return true
+}
+
+// beginSpend begins the next period if it is time, and returns how many retries the window
+// may have and has.
+func (b *ServiceRetryBudgets) beginSpend(now time.Time, c *sendCounts) (allowed float64, retries int) {
+	allowed, retries = b.allowed(c), c.retryCount()
+	if now.Sub(c.periodStart) >= cutoffPeriod {
+		c.setCutoff(now, allowed, retries, b.cfg.Window)
+	}
+	return allowed, retries
 }
 
 // allowed returns how many retries a window may have. The platform counts the first
@@ -219,6 +233,7 @@
 		c.cutoff = min(asked[len(asked)-c.places], FirstPrecedence)
 	}
 	c.asked, c.periodStart = c.asked[:0], now
+	c.customers.beginPeriod(asked == nil)
 }
 
 // countsFor returns the counts of a service, with expired buckets cleared, or nil
--- a/core/zyfairshare/share.go
+++ b/core/zyfairshare/share.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"zinniayoke"
@@ -46,6 +47,31 @@
 	return (calls + priorCalls) / (expected + priorCalls)
 }
 
+// Allowance returns how many calls a customer may make before its calls count as beyond its
+// share, given the median use per weight: entitledMultiple times what others make and twice
+// the standard deviation of that.
+func Allowance(c Customer, medianUse float64) float64 {
+	usual := medianUse * c.Weight
+	return entitledMultiple*usual + 2*math.Sqrt(usual) + priorCalls
+}
+
+// MedianUse returns the demand per weight that the claims of half of the weight do not exceed.
+// The demand is in calls. It reorders the claims.
+func MedianUse(claims []Claim) float64 {
+	demand, weights := 0.0, 0.0
+	for i := range claims {
+		demand += claims[i].Demand
+		weights += claims[i].Customer.Weight
+	}
+	if demand <= 0 {
+		return 0
+	}
+	for i := range claims {
+		claims[i].ratio = UsageRatio(claims[i].Demand, demand*claims[i].Customer.Weight/weights)
+	}
+	return medianRatio(claims, weights) * demand / weights
+}
+
 // Claim is the demand of one customer on a capacity.
 type Claim struct {
 	Customer Customer
--- a/core/zyingress/admission.go
+++ b/core/zyingress/admission.go
@@ -74,15 +74,18 @@
 // returns an error if it is a retry that the budget does not allow.
 func (r *Receiver) chargeRetry(now time.Time, a *zinniayoke.Attempt) error {
 	budgets := r.cfg.RetryBudgets
+	if budgets == nil {
+		return nil
+	}
+	customer := r.shareOf(a)
 	switch {
-	case budgets == nil:
 	case a.Resent:
-		if !budgets.Spend(now, a.Service, zyattempt.PrecedenceOf(a)) {
+		if !budgets.SpendFor(now, a.Service, customer, zyattempt.PrecedenceOf(a)) {
 			return zinniayoke.NewRefusedError(zinniayoke.ReasonRetryBudget, "the retries of the service are kept for other calls")
 		}
 	case a.RefusedElsewhere:
 	case a.InRepeatedRun:
-		budgets.RecordRetry(now, a.Service)
+		budgets.RecordRetryFor(now, a.Service, customer)
 	default:
 		budgets.RecordFirstSend(now, a.Service)
 	}
