--- a/core/zybackpressure/customers.go
+++ b/core/zybackpressure/customers.go
@@ -20,7 +20,7 @@
 	// among 82 customers of four routes takes longer than the decision about a route.
 	planPeriod = 50 * time.Millisecond
 	// maxFlows bounds the table. Calls beyond it are refused by the share of the route.
-	maxFlows = 16_384
+	maxFlows = 4096
 	// minUsage is the count below which a customer's calls of a route are forgotten.
 	minUsage = 0.01
 	// A customer's calls may be admitted beyond its share, because retries are preferred,
--- a/core/zyentry/filter.go
+++ b/core/zyentry/filter.go
@@ -237,9 +237,13 @@
 		return nil
 	}
 	const percent = 100
+	whose := "the route's calls"
+	if cs.call.Share != "" {
+		whose = "the customer's calls of the route"
+	}
 	refusal := zinniayoke.NewRefusedError(zinniayoke.ReasonShed, fmt.Sprintf(
-		"%.0f%% of the route's calls are refused, since %s has no room for %.0f%% of what is asked of it",
-		percent*decision.RefusedShare, decision.Service, percent*decision.ExcessShare))
+		"%.0f%% of %s are refused, since %s has no room for %.0f%% of what is asked of it",
+		percent*decision.RefusedShare, whose, decision.Service, percent*decision.ExcessShare))
 	refusal.RetryAfter = retryAfter(cs)
 	return refusal
 }
--- a/message.go
+++ b/message.go
@@ -15,11 +15,8 @@
 	// Customer is the customer whose key the request carried, "" for none and for calls of
 	// workers.
 	Customer Customer
-	// Share is the customer to whose share of the capacity the call counts: Customer, or
-	// for the call of a worker that of the presumed parent.
-	Share   Customer
-	Service Service
-	Method  string
+	Service  Service
+	Method   string
 	// Host is the host named by the caller, "" if routing does not need it.
 	Host     string
 	Path     string
@@ -48,6 +45,9 @@
 	// EarlierCalls is how many calls the run that makes this one has made before, as far
 	// as known.
 	EarlierCalls int
+	// Share is the customer to whose share of the capacity the call counts: Customer, or
+	// for the call of a worker that of the presumed parent.
+	Share Customer
 }
 
 // Attempt is one send of a call to the node of a worker.
