core/zyfairshare, core/zybackpressure, core/zyadmission: the least important calls go first among customers

Cause: an entry node sees less than one call of most customers in 3 s. Now only customers above their share by more than random variation are refused across their routes; of the others, the least important calls go first, and among equals those of customers that use most. In the queue, customers with the lowest weights went before others, so that calls waited in vain until they expired; customers that have not used up their part are equal now and go by arrival.

--- a/core/zyadmission/fair.go
+++ b/core/zyadmission/fair.go
@@ -187,7 +187,7 @@
 	var first *flow
 	lowest := math.Inf(1)
 	for _, fl := range fc.waiting {
-		tag := fc.order.Tag(&fl.Flow)
+		tag := fc.order.Tag(&fl.Flow, 0)
 		if first == nil || tag < lowest || tag == lowest && less(fl.items[0].own, first.items[0].own) {
 			first, lowest = fl, tag
 		}
@@ -201,11 +201,10 @@
 	if own == nil {
 		own = &flow{Flow: zyfairshare.Flow{Customer: c}}
 	}
-	tag, n := fc.order.Tag(&own.Flow)+float64(len(own.items))/c.Weight, len(own.items)
+	tag, n := fc.order.Tag(&own.Flow, len(own.items)), len(own.items)
 	for _, fl := range fc.waiting {
 		if fl != own {
-			earlier := math.Ceil((tag - fc.order.Tag(&fl.Flow)) * fl.Customer.Weight)
-			n += int(min(max(earlier, 0), float64(len(fl.items))))
+			n += fc.order.CountUpTo(tag, &fl.Flow, len(fl.items))
 		}
 	}
 	return n
--- a/core/zyattempt/customer_retry.go
+++ b/core/zyattempt/customer_retry.go
@@ -103,7 +103,7 @@
 	}
 	r.customer = customer
 	r.asked++
-	return float64(r.asked) <= zyfairshare.Allowance(customer, t.medianUse)
+	return float64(r.asked) <= zyfairshare.Allowance(t.medianUse*customer.Weight)
 }
 
 // use records that a customer has got a retry within its allowance.
@@ -133,7 +133,7 @@
 		t.medianUse = zyfairshare.MedianUse(t.claims)
 	}
 	for _, r := range t.byName {
-		r.kept = int(min(float64(r.asked), zyfairshare.Allowance(r.customer, t.medianUse)))
+		r.kept = int(min(float64(r.asked), zyfairshare.Allowance(t.medianUse*r.customer.Weight)))
 		r.asked = 0
 		t.kept += r.kept
 	}
--- a/core/zybackpressure/customers.go
+++ b/core/zybackpressure/customers.go
@@ -1,7 +1,6 @@
 package zybackpressure
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -41,8 +40,10 @@
 	flows int
 	// plannedAt is when the refused shares were last computed.
 	plannedAt time.Time
-	// used and claims are scratch space of the plan.
-	used   []usedFlow
+	// used, parts and claims are scratch space of the plan; used[i] is the flow of the part
+	// with that Index.
+	used   []*customerFlow
+	parts  []zyfairshare.Part
 	claims []zyfairshare.Claim
 }
 
@@ -74,17 +75,6 @@
 	planned  bool
 }
 
-// usedFlow is a flow that uses the service for which a plan is made.
-type usedFlow struct {
-	*customerFlow
-	// customer is the index of the customer.
-	customer int
-	// cost is that of one call, demand that of all calls per second.
-	cost   float64
-	demand float64
-	count  float64
-}
-
 // AdmitFor is Admit for a call of a customer; without customers in the bundle, the customer
 // is the zero value. The demand on a service that has to be refused is the same as with
 // Admit. It falls first on customers above their fair share, and with each customer on the
@@ -244,28 +234,20 @@
 	if refused <= 0 || demand <= 0 {
 		return
 	}
-	zyfairshare.Divide(demand-refused, demand/calls, t.claims)
-	slices.SortFunc(t.claims, func(a, b zyfairshare.Claim) int { return cmp.Compare(a.Index, b.Index) })
-	slices.SortFunc(t.used, func(a, b usedFlow) int {
-		return cmp.Or(cmp.Compare(a.customer, b.customer), cmp.Compare(a.route.importance, b.route.importance), cmp.Compare(b.cost, a.cost))
-	})
-	for _, u := range t.used {
-		claim := &t.claims[u.customer]
-		part := min(claim.Demand-claim.Granted, u.demand)
-		if part <= 0 {
-			continue
-		}
-		claim.Granted += part // What the next flow of the customer has to give up is less.
-		if share := part / u.demand; share > u.decision.RefusedShare {
-			u.decision = Decision{RefusedShare: share, Service: service, ExcessShare: excess}
+	zyfairshare.Refuse(refused, demand/calls, t.claims, t.parts)
+	for i := range t.parts {
+		part := &t.parts[i]
+		f := t.used[part.Index]
+		if share := part.Refused / part.Demand; share > f.decision.RefusedShare {
+			f.decision = Decision{RefusedShare: share, Service: service, ExcessShare: excess}
 		}
 	}
 }
 
-// collectUses sets used and claims to the flows and customers that use the service. It
+// collectUses sets used, parts and claims to the flows and customers that use the service. It
 // returns their demand per second and their calls as counted.
 func (t *customerTable) collectUses(now time.Time, service zinniayoke.Service) (demand, calls float64) {
-	t.used, t.claims = t.used[:0], t.claims[:0]
+	t.used, t.parts, t.claims = t.used[:0], t.parts[:0], t.claims[:0]
 	counts := make(map[*routeState]float64)
 	for _, c := range t.list {
 		n := len(t.used)
@@ -273,21 +255,22 @@
 			if cost := f.route.costs[service]; cost > 0 && now.Sub(f.route.windowStart) < 2*rateWindow {
 				count := f.countAt(now)
 				counts[f.route] += count
-				t.used = append(t.used, usedFlow{customerFlow: f, customer: len(t.claims), cost: cost, count: count})
+				calls += count
+				t.parts = append(t.parts, zyfairshare.Part{
+					Claim: len(t.claims), Importance: f.route.importance, Cost: cost, Demand: count * cost * f.route.rate, Index: len(t.used),
+				})
+				t.used = append(t.used, f)
 			}
 		}
 		if len(t.used) > n {
-			t.claims = append(t.claims, zyfairshare.Claim{
-				Customer: c.share, Index: len(t.claims), RetriedShare: c.retries / c.count,
-			})
+			t.claims = append(t.claims, zyfairshare.Claim{Customer: c.share, Index: len(t.claims), RetriedShare: c.retries / c.count})
 		}
 	}
-	for i := range t.used {
-		u := &t.used[i]
-		u.demand = u.route.rate * u.cost * u.count / counts[u.route]
-		t.claims[u.customer].Demand += u.demand
-		demand += u.demand
-		calls += u.count
+	for i := range t.parts {
+		part := &t.parts[i]
+		part.Demand /= counts[t.used[i].route]
+		t.claims[part.Claim].Demand += part.Demand
+		demand += part.Demand
 	}
 	return demand, calls
 }
--- a/core/zyfairshare/share.go
+++ b/core/zyfairshare/share.go
@@ -47,11 +47,10 @@
 	return (calls + priorCalls) / (expected + priorCalls)
 }
 
-// Allowance returns how many calls a customer may make before its calls count as beyond its
-// share, given the median use per weight: entitledMultiple times what others make and twice
-// the standard deviation of that.
-func Allowance(c Customer, medianUse float64) float64 {
-	usual := medianUse * c.Weight
+// Allowance returns how many calls a customer may make before it counts as above its share,
+// given the number that others make for the weight: entitledMultiple times as many, and
+// twice the standard deviation of random arrivals.
+func Allowance(usual float64) float64 {
 	return entitledMultiple*usual + 2*math.Sqrt(usual) + priorCalls
 }
 
@@ -88,6 +87,9 @@
 	ratio    float64
 	weight   float64
 	entitled float64
+	floor    float64
+	// above is true if the demand is above the share by more than random variation.
+	above bool
 }
 
 // Divide divides the capacity among the claims, and reorders them. Each claim gets at least
@@ -116,13 +118,16 @@
 		c.weight = c.Demand / c.ratio
 		// With d the demand of the customer and g what it gets, this is the g for which
 		// g/d = MinServedRatio * (capacity-g)/(demand-d).
-		c.Granted = MinServedRatio * capacity * c.Demand / (demand - (1-MinServedRatio)*c.Demand) * (1 - c.RetriedShare)
-		left -= c.Granted
+		c.floor = MinServedRatio * capacity * c.Demand / (demand - (1-MinServedRatio)*c.Demand) * (1 - c.RetriedShare)
+		c.Granted = c.floor
+		left -= c.floor
 	}
 	median := medianRatio(claims, weights)
 	slices.SortFunc(claims, func(a, b Claim) int { return cmp.Compare(a.Customer.Level, b.Customer.Level) })
 	for i := range claims {
-		claims[i].entitled = min(claims[i].Demand, entitledMultiple*median*claims[i].weight)
+		c := &claims[i]
+		c.entitled = min(c.Demand, entitledMultiple*median*c.weight)
+		c.above = c.Demand/unit > Allowance(median*demand/unit*c.Customer.Weight/weights)
 	}
 	left = fillLevels(left, claims, func(c *Claim) float64 { return c.entitled })
 	fillLevels(left, claims, func(c *Claim) float64 { return c.Demand })
