--- a/core/zyentry/filter.go
+++ b/core/zyentry/filter.go
@@ -131,6 +131,7 @@
 	if cs.parent == nil {
 		c.MaxWait = time.Duration(rootMaxWaitShare * float64(cs.route.Objective))
 		c.Version = cs.bundle.Version
+		c.Share = c.Customer
 		share := e.cfg.Shares.Observe(time.Now(), cs.caller.Name)
 		c.Rank = zyrank.New(cs.bundle.Importance(c.Customer, cs.route), cs.caller.Urgency, share, c.Request)
 	}
@@ -239,7 +240,7 @@
 	if cs.fromWorker {
 		return nil
 	}
-	decision := e.cfg.Shedder.Admit(now, cs.route, cs.call.Request, cs.call.BodyHash)
+	decision := e.cfg.Shedder.AdmitFor(now, cs.route, cs.bundle.ShareOf(cs.call.Share), cs.call.Request, cs.call.BodyHash)
 	if decision.Admitted {
 		if decision.Retry {
 			cs.call.MaxWait *= retryMaxWaitFactor
@@ -247,9 +248,13 @@
 		return nil
 	}
 	const percent = 100
+	whose := "the route's calls"
+	if cs.call.Share != "" {
+		whose = "the customer's calls of the route"
+	}
 	refusal := zinniayoke.NewRefusedError(zinniayoke.ReasonShed, fmt.Sprintf(
-		"%.0f%% of the route's calls are refused, since %s has no room for %.0f%% of what is asked of it",
-		percent*decision.RefusedShare, decision.Service, percent*decision.ExcessShare))
+		"%.0f%% of %s are refused, since %s has no room for %.0f%% of what is asked of it",
+		percent*decision.RefusedShare, whose, decision.Service, percent*decision.ExcessShare))
 	refusal.RetryAfter = retryAfter(cs)
 	return refusal
 }
--- a/io/zypeer/wire.go
+++ b/io/zypeer/wire.go
@@ -45,6 +45,7 @@
 	integer(func(a *zinniayoke.Attempt) *int { return &a.EarlierCalls }),
 	boolean(func(a *zinniayoke.Attempt) *bool { return &a.LastChoice }),
 	pointer(heardFields, func(a *zinniayoke.Attempt) **zinniayoke.HeardNotice { return &a.Heard }),
+	text(func(a *zinniayoke.Attempt) *zinniayoke.Customer { return &a.Share }),
 }
 
 // replyFields are the fields of a Reply, apart from the body of its response.
--- a/message.go
+++ b/message.go
@@ -46,6 +46,9 @@
 	// Customer is the customer whose key the request carried, "" for none and for calls of
 	// workers.
 	Customer Customer
+	// Share is the customer to whose share of the capacity the call counts: Customer, or
+	// for the call of a worker that of the presumed parent.
+	Share Customer
 }
 
 // Attempt is one send of a call to the node of a worker.
@@ -92,6 +95,9 @@
 	Heard *HeardNotice `codec:"no"`
 	// Customer is that of the call.
 	Customer Customer `codec:"cu"`
+	// Share is the customer to whose share of the capacity the attempt counts. Unlike
+	// Customer, it is not told to the worker, and is set for calls of workers too.
+	Share Customer `codec:"sh"`
 }
 
 // Grant is the permission to run an idempotency key once, issued by the owner of
@@ -165,9 +171,6 @@
 	// Delivered is true if the attempt was delivered to the worker, even if the worker
 	// refused it.
 	Delivered bool `codec:"hd"`
-	// WorkerError is true if the response is a server error of the worker itself: no call
-	// that its run made is known to have failed.
-	WorkerError bool `codec:"we"`
 	// CalledByWorkers is true if the worker's node has observed that the route is called
 	// by workers and not by clients, and that the sender's service is one of those that
 	// call it.
@@ -176,6 +179,9 @@
 	Costs []ServiceCost `codec:"bu"`
 	// Heard is what the worker says about itself, nil if nothing.
 	Heard *HeardNotice `codec:"no"`
+	// WorkerError is true if the response is a server error of the worker itself: no call
+	// that its run made is known to have failed.
+	WorkerError bool `codec:"we"`
 }
 
 // ServiceCost is the cost of a call to a service, including all calls to that
