core, platform: even load over the workers of a service

What a node knows of a worker's load is some seconds old, so workers were overloaded in turn while others were idle.

With EvenLoad in the bundle, replies carry the limit, speed, hold time and the calls running and waiting of the worker. Nodes choose by expected room and speed, where a report says the less of the calls that run the older it is. A call that would wait at a busy worker is refused with ReasonBusy before anything ran, and goes to the worker with the lowest cost: expected wait, distance, and half of the tolerated wait for leaving the failure domain. Such a refusal counts neither as demand nor as a failure, nor against any budget.

The platform's load header is read from each response; its fourth value and service times in relation to those of the other workers give the speed.

--- a/core/zybalancer/picker.go
+++ b/core/zybalancer/picker.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"zinniayoke"
+	"zinniayoke/core/zyevenload"
 )
 
 // Config configures a Picker.
@@ -84,6 +85,10 @@
 	usedAt    time.Time
 	// succeededAt is when the latency was last updated.
 	succeededAt time.Time
+	// estimate is the load by reports, for PickEven.
+	estimate zyevenload.Estimate
+	// turn is the part of a call that PickEven owes the upstream.
+	turn float64
 }
 
 // New returns a picker without observations.
@@ -259,6 +264,7 @@
 	defer p.mu.Unlock()
 	s := p.statsOf(now, id)
 	s.inFlight++
+	s.estimate.Sent()
 }
 
 // Replied records the reply to an attempt and the time that it took.
--- a/core/zyegress/retry.go
+++ b/core/zyegress/retry.go
@@ -16,6 +16,9 @@
 	if reply.Outcome == zinniayoke.OutcomeUnknown && f.Route.NeverRepeat || f.exclusive {
 		return false
 	}
+	if f.isRedirect(reply) {
+		return true
+	}
 	if s.cfg.WorkersLimitRetries {
 		return s.mayAskWorkersNode(f, reply)
 	}
--- a/core/zyegress/sender.go
+++ b/core/zyegress/sender.go
@@ -17,6 +17,7 @@
 	"zinniayoke/core/zyattempt"
 	"zinniayoke/core/zybalancer"
 	"zinniayoke/core/zybundle"
+	"zinniayoke/core/zyevenload"
 	"zinniayoke/core/zymember"
 	"zinniayoke/core/zynotice"
 	"zinniayoke/core/zyquarantine"
@@ -44,6 +45,8 @@
 	WorkersLimitRetries bool
 	// OnReply is called with each valid reply to a call of the route; it may be nil.
 	OnReply func(now time.Time, route zinniayoke.RouteName, r *zinniayoke.Reply)
+	// LoadMeter measures the even distribution of load; nil discards the measurements.
+	LoadMeter zinniayoke.LoadMeter
 	// Notices keeps what the workers say about themselves; nil keeps nothing.
 	Notices *zynotice.Memory
 	// Recorder records the end of each attempt; nil discards the events.
@@ -76,6 +79,8 @@
 // create one.
 type Sender struct {
 	cfg Config
+	// routeTimes is for how long calls usually occupy a slot, for even load.
+	routeTimes zyevenload.RouteTimes
 }
 
 // New returns a Sender.
@@ -83,6 +88,9 @@
 	if cfg.NewID == nil {
 		cfg.NewID = newIDGenerator()
 	}
+	if cfg.LoadMeter == nil {
+		cfg.LoadMeter = zinniayoke.NopLoadMeter{}
+	}
 	if cfg.Recorder == nil {
 		cfg.Recorder = zinniayoke.NopEventRecorder{}
 	}
@@ -138,6 +146,14 @@
 	// exclusive is true for a request suspected of crashing workers, which may run
 	// only on a single upstream and is not retried.
 	exclusive bool
+	// redirectAfter is the expected wait above which the node chosen for the latest attempt
+	// may refuse it as busy; 0 means never. redirects counts these refusals.
+	redirectAfter time.Duration
+	redirects     int
+	// redirected is true while the latest refusal as busy has not led to another choice.
+	redirected bool
+	// roomNearby is true if another worker in the failure domain was expected to have room.
+	roomNearby bool
 }
 
 // Send sends the call until it gets a response or may not be retried. The outcome
@@ -166,6 +182,8 @@
 		f.mayHaveRun = true
 	}
 	switch {
+	case f.isRedirect(reply):
+		f.recordRedirect()
 	case !reply.Delivered && reply.Outcome == zinniayoke.OutcomeNotRun && reply.Reason == zinniayoke.ReasonShed &&
 		reply.Heard != nil && reply.Heard.Notice.Limited:
 		f.limitedRefusals++
@@ -221,10 +239,10 @@
 	}
 	f.excluded = append(f.excluded, to.Node)
 	sentAt := time.Now()
-	reply := s.exchange(ctx, to, a)
+	reply := s.exchange(ctx, f, a)
 	s.cfg.Notices.Record(time.Now(), sentAt, zymember.HostOf(to.Node), reply)
 	f.Budget.Refund(min(reply.Unused, share))
-	if s.cfg.WorkersLimitRetries && !returns && !reply.Delivered && reply.Outcome == zinniayoke.OutcomeNotRun {
+	if (s.cfg.WorkersLimitRetries || f.isRedirect(reply)) && !returns && !reply.Delivered && reply.Outcome == zinniayoke.OutcomeNotRun {
 		f.Budget.Refund(1)
 	}
 	if reply.Outcome == zinniayoke.OutcomeDone {
@@ -237,6 +255,7 @@
 // suspected of crashing workers, so that it can crash only that one.
 func (s *Sender) pick(f *sendState) (zinniayoke.Upstream, *zinniayoke.CallError) {
 	c := f.Call
+	f.redirectAfter, f.roomNearby = 0, false
 	fingerprint := zyquarantine.FingerprintOf(c.Service, c.Method, c.Path, c.Query, c.Body)
 	if s.quarantineDecision(fingerprint) == zyquarantine.RunExclusive {
 		f.exclusive = true
@@ -247,9 +266,9 @@
 	if s.cfg.WorkersLimitRetries && f.mayReturnToRejecting() && (f.Budget.Remaining() < 1 || !s.hasUntriedUpstream(f)) {
 		return f.rejectedBy[f.rejections%len(f.rejectedBy)], nil
 	}
-	u, ok := s.cfg.Picker.Pick(time.Now(), c.Service, c.Rank, f.excluded)
+	u, ok := s.choose(f, f.excluded)
 	if !ok && len(f.excluded) == len(f.Avoid) {
-		u, ok = s.cfg.Picker.Pick(time.Now(), c.Service, c.Rank, nil)
+		u, ok = s.choose(f, nil)
 	}
 	if !ok {
 		return u, zinniayoke.NewRefusedError(zinniayoke.ReasonNoUpstream, "no worker of "+string(c.Service)+" is at hand")
@@ -286,15 +305,16 @@
 		BodyHash: c.BodyHash, Key: c.Key, Grant: f.Grant, Rank: c.Rank, Timeout: time.Until(c.Deadline),
 		Tokens: share, Depth: c.Depth, Version: c.Version, MaxWait: c.MaxWait,
 		RefusedElsewhere: f.undelivered+f.limitedRefusals > 0, Resent: f.delivered, InRepeatedRun: c.InRepeatedRun, EarlierCalls: c.EarlierCalls,
-		LastChoice: f.limitedRefusals+1 >= maxLimitedRefusals || !s.hasOtherUpstream(f),
-		Heard:      s.cfg.Notices.Of(zymember.HostOf(f.to.Node)),
+		LastChoice:    f.limitedRefusals+1 >= maxLimitedRefusals || !s.hasOtherUpstream(f),
+		Heard:         s.cfg.Notices.Of(zymember.HostOf(f.to.Node)),
+		RedirectAfter: f.redirectAfter, UsualTime: s.usualTime(c.Route),
 	}
 }
 
 // exchange sends the attempt and returns its reply. If no valid reply arrives, it
 // queries the state of the attempt.
-func (s *Sender) exchange(ctx context.Context, to zinniayoke.Upstream, a *zinniayoke.Attempt) *zinniayoke.Reply {
-	start := time.Now()
+func (s *Sender) exchange(ctx context.Context, f *sendState, a *zinniayoke.Attempt) *zinniayoke.Reply {
+	to, start := f.to, time.Now()
 	s.cfg.Meter.CountSent(a.Service)
 	s.cfg.Picker.Start(start, to.Node)
 	reply, err := s.cfg.Peers.Run(ctx, to, a)
@@ -303,6 +323,7 @@
 	}
 	if err == nil {
 		s.cfg.Picker.Replied(time.Now(), to.Node, time.Since(start), reply)
+		s.observeLoad(f, a, reply)
 		s.cfg.Thresholds.Update(time.Now(), a.Route, to.Node, reply.Threshold)
 		if s.cfg.OnReply != nil {
 			s.cfg.OnReply(time.Now(), a.Route, reply)
--- a/core/zyingress/admission.go
+++ b/core/zyingress/admission.go
@@ -45,6 +45,13 @@
 		// A refusal reports this too: the sender goes by the last reply.
 		c.calledByWorkers = r.cfg.Callers.Observe(now, c.attempt.Route, c.attempt.Caller)
 	}
+	item := zyadmission.Item{
+		ID: c.attempt.ID, Route: c.attempt.Route, Rank: c.attempt.Rank,
+		Depth: c.attempt.Depth, Deadline: now.Add(c.attempt.Timeout), MaxWait: c.attempt.MaxWait,
+	}
+	if err := r.checkBusy(now, decision, c.attempt, item); err != nil {
+		return nil, err
+	}
 	if err := r.chargeRetry(now, c.attempt); err != nil {
 		return nil, err
 	}
@@ -52,10 +59,6 @@
 	if r.rateLimit() == nil && !c.attempt.RefusedElsewhere && !c.attempt.Resent {
 		r.excess.CountArrival(now)
 	}
-	item := zyadmission.Item{
-		ID: c.attempt.ID, Route: c.attempt.Route, Rank: c.attempt.Rank,
-		Depth: c.attempt.Depth, Deadline: now.Add(c.attempt.Timeout), MaxWait: c.attempt.MaxWait,
-	}
 	r.applyResult(now, r.queue.Arrive(now, item))
 	return r.worker, nil
 }
--- a/core/zyingress/notice.go
+++ b/core/zyingress/notice.go
@@ -15,6 +15,8 @@
 	notices zynotice.Tracker
 	// problem is the part of the last response that could not be read, "" if none.
 	problem string
+	// loadProblem is true once a load that could not be read has been reported.
+	loadProblem bool
 }
 
 // noticeChange is what remains to be done, without r.mu, after a notice was applied.
--- a/core/zyingress/receiver.go
+++ b/core/zyingress/receiver.go
@@ -14,6 +14,7 @@
 	"zinniayoke/core/zyattempt"
 	"zinniayoke/core/zybackpressure"
 	"zinniayoke/core/zybundle"
+	"zinniayoke/core/zyevenload"
 	"zinniayoke/core/zyfence"
 	"zinniayoke/core/zygraph"
 	"zinniayoke/core/zyidempotency"
@@ -48,6 +49,8 @@
 	RetryBudgets *zyattempt.ServiceRetryBudgets
 	// Recorder records the decision about each attempt; nil means none.
 	Recorder zinniayoke.EventRecorder
+	// LoadMeter measures the even distribution of load; nil discards the measurements.
+	LoadMeter zinniayoke.LoadMeter
 	// AnnouncementTTL is how long an announcement stays valid; 0 means 3 s.
 	AnnouncementTTL time.Duration
 	// FixedLimit derives the concurrency limit from the announced slots instead of
@@ -101,7 +104,9 @@
 	// rejectRate is the moving average of the share of delivered calls that the
 	// worker refuses.
 	rejectRate float64
-	calls      map[zinniayoke.AttemptID]*activeCall
+	// speed estimates the speed of the worker, for even load.
+	speed zyevenload.Speed
+	calls map[zinniayoke.AttemptID]*activeCall
 	// exclusive is the suspected call that runs without any other call, or nil.
 	exclusive *activeCall
 	idle      chan struct{}
@@ -127,6 +132,9 @@
 	if cfg.Recorder == nil {
 		cfg.Recorder = zinniayoke.NopEventRecorder{}
 	}
+	if cfg.LoadMeter == nil {
+		cfg.LoadMeter = zinniayoke.NopLoadMeter{}
+	}
 	if cfg.AnnouncementTTL == 0 {
 		cfg.AnnouncementTTL = defaultAnnouncementTTL
 	}
@@ -188,6 +196,7 @@
 	response, delivered, err := worker.Run(ctx, &zinniayoke.WorkerCall{
 		Attempt: a, Instance: instance, Context: handle, Timeout: time.Until(parent.Deadline),
 		OnNotice: func(n zinniayoke.WorkerNotice, err error) { r.observeNotice(run, startedAt, n, err) },
+		OnLoad:   r.loadObserver(run),
 	})
 	r.cfg.Parents.Remove(handle)
 	if errors.Is(err, zinniayoke.ErrMisdirected) {
@@ -201,7 +210,11 @@
 		now := time.Now()
 		r.cfg.Graph.ObserveRun(now, a.Route, now.Sub(startedAt))
 	}
+	hold := r.observeHold(c, response)
 	reply := r.workerReply(ctx, c, response, delivered, err)
+	if hold > 0 {
+		reply.HoldTime, reply.Wait = hold, startedAt.Sub(c.arrived)
+	}
 	reply.Delivered = delivered
 	if reply.Response != nil && reply.Response.Status >= http.StatusInternalServerError {
 		reply.Detail = r.cfg.Parents.FailureCause(time.Now(), parent)
--- a/core/zyingress/reply.go
+++ b/core/zyingress/reply.go
@@ -102,6 +102,7 @@
 			reply.Threshold = r.queue.Threshold()
 		}
 		reply.Load = int(percent * (r.queue.Load(time.Now()) + rejectLoadFactor*r.rejectRate))
+		reply.Report = r.loadReport(time.Now())
 	}
 	return reply
 }
--- a/io/zymetric/meter.go
+++ b/io/zymetric/meter.go
@@ -32,6 +32,9 @@
 	mismatches  prometheus.Counter
 	queueTime   *prometheus.HistogramVec
 	serviceTime *prometheus.HistogramVec
+	redirects   *prometheus.CounterVec
+	waits       prometheus.Counter
+	capacity    prometheus.Gauge
 	limit       prometheus.Gauge
 	running     prometheus.Gauge
 
@@ -69,9 +72,14 @@
 	m.mismatches = prometheus.NewCounter(prometheus.CounterOpts{
 		Namespace: namespace, Name: "answers_dropped_total", Help: "Answers that were crossed, short or late.",
 	})
+	m.redirects = counter(cfg, "redirects_total", "Calls that were sent to another worker because the first one was busy, by its distance.", "distance")
+	m.waits = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: namespace, Name: "avoidable_waits_total", Help: "Calls that waited although another worker in the failure domain was expected to have room.",
+	})
+	m.capacity = gauge("capacity_factor", "Speed of the worker in relation to the other workers of its service.")
 	m.limit = gauge("concurrency_limit", "Calls that the worker may run at once.")
 	m.running = gauge("concurrency_running", "Calls that the worker runs.")
-	cfg.Registry.MustRegister(m.mismatches, m.limit, m.running)
+	cfg.Registry.MustRegister(m.mismatches, m.waits, m.capacity, m.limit, m.running)
 	return m
 }
 
@@ -142,6 +150,23 @@
 	m.mismatches.Inc()
 }
 
+// CountRedirect counts a call that was sent to another worker at the distance because the
+// first one was busy.
+func (m *Meter) CountRedirect(d zinniayoke.Distance) {
+	m.redirects.WithLabelValues(d.String()).Inc()
+}
+
+// CountAvoidableWait counts a call that waited although another worker in the sender's
+// failure domain was expected to have room.
+func (m *Meter) CountAvoidableWait() {
+	m.waits.Inc()
+}
+
+// SetCapacityFactor sets the speed of the worker of this node.
+func (m *Meter) SetCapacityFactor(f float64) {
+	m.capacity.Set(f)
+}
+
 // Totals returns the counts so far.
 func (m *Meter) Totals() Totals {
 	return Totals{
--- a/io/zynode/request_path.go
+++ b/io/zynode/request_path.go
@@ -100,12 +100,12 @@
 		Node: n.id, Bundle: n.bundle.Current, Fence: n.fence, Grants: n.grants, Quarantine: n.quarantine,
 		Parents: parents, Timer: n.timer, Meter: n.meter, OnCrash: n.broadcastCrashRecords, OnLeaving: n.updateSelf,
 		AnnouncementTTL: n.cfg.Settings.Worker.Heartbeat * maxMissedHeartbeats, FixedLimit: n.hasBundleSource(),
-		Recorder: n.recorder, Graph: graph, Callers: callers, RetryBudgets: n.retryBudgets,
+		Recorder: n.recorder, Graph: graph, Callers: callers, RetryBudgets: n.retryBudgets, LoadMeter: n.meter,
 	})
 	sender := zyegress.New(zyegress.Config{
 		Peers: &loopbackClient{self: n.id, receiver: n.receiver, remote: n.client}, Picker: n.picker, Resolver: n.view, Thresholds: thresholds,
 		RetryBudgets: zyattempt.NewCallerRetryBudgets(), Quarantine: n.quarantine, Meter: n.meter, Bundle: n.bundle.Current,
-		Locality: n.cfg.Settings.Locality, LinkBudget: n.linkBudget, WorkersLimitRetries: n.retryBudgets != nil, OnReply: onReply, Notices: zynotice.NewMemory(), Recorder: n.recorder,
+		Locality: n.cfg.Settings.Locality, LinkBudget: n.linkBudget, WorkersLimitRetries: n.retryBudgets != nil, OnReply: onReply, LoadMeter: n.meter, Notices: zynotice.NewMemory(), Recorder: n.recorder,
 	})
 	n.keyOwners = &keyOwnerClient{
 		self: n.id, view: n.view, client: n.client, bundle: n.bundle.Current, queryLocal: n.receiver.Query,
--- a/message.go
+++ b/message.go
@@ -89,6 +89,12 @@
 	// Heard is what the sender has heard of the worker in earlier replies, nil if nothing.
 	// The node of the worker may have started again since, and know less.
 	Heard *HeardNotice `codec:"no"`
+	// RedirectAfter is the expected wait above which the worker's node refuses the attempt
+	// with ReasonBusy; 0 means that it never does.
+	RedirectAfter time.Duration `codec:"rd,omitempty"`
+	// UsualTime is the average time for which calls of the route occupy a slot of any worker
+	// of the service, as observed by the sender; 0 if unknown.
+	UsualTime time.Duration `codec:"ut,omitempty"`
 }
 
 // Grant is the permission to run an idempotency key once, issued by the owner of
@@ -169,6 +175,12 @@
 	Costs []ServiceCost `codec:"bu"`
 	// Heard is what the worker says about itself, nil if nothing.
 	Heard *HeardNotice `codec:"no"`
+	// Report is the load of the worker, nil without even load.
+	Report *LoadReport `codec:"lr,omitempty"`
+	// HoldTime is for how long the call occupied a slot of the worker; 0 without even load.
+	HoldTime time.Duration `codec:"ht,omitempty"`
+	// Wait is how long the call waited for the worker; 0 without even load.
+	Wait time.Duration `codec:"wt,omitempty"`
 }
 
 // ServiceCost is the cost of a call to a service, including all calls to that
@@ -200,6 +212,9 @@
 	// is a rejection, before Run returns. The error says which part of it could not be read.
 	// It is nil if nobody wants to know.
 	OnNotice func(n WorkerNotice, err error)
+	// OnLoad is called with the load that the response reports, if any, before Run returns.
+	// The error says which part of it could not be read. It is nil if nobody wants to know.
+	OnLoad func(l WorkerLoad, err error)
 }
 
 // WorkerNotice is what a worker says about itself in a response. The zero value says
--- a/outcome.go
+++ b/outcome.go
@@ -58,6 +58,9 @@
 	// ReasonRetryBudget means that the call was delivered to a worker before, and that the
 	// retry budget of the service is kept for calls that need it more.
 	ReasonRetryBudget
+	// ReasonBusy means that the call would have had to wait for the worker, and that its
+	// sender has another choice. Only senders with even load get it, once for each call.
+	ReasonBusy
 )
 
 // WorkerState is the lifecycle state that a worker announces.
