core/zybalancer, core/zyadmission: cheaper choice, fast workers first; experiment even

PickEven copied all upstreams of a service for each call, as Pick does.

Workers get calls by the third power of their speed, so that fast ones are used first.

ExpectedWait counted a waiting call of the same time and rank as behind the new one, and expected no relevant wait at a full worker that had not ended any call.

A busy refusal is logged only for sampled requests, as it is no failure.

--- a/cmd/zinniayoke/experiment.go
+++ b/cmd/zinniayoke/experiment.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -37,6 +38,14 @@
 					&cli.StringFlag{Name: "plots", Usage: "directory for one plot per scenario"},
 				},
 			},
+			{
+				Name: "even", Usage: "compare ways to choose among the workers of a service", Action: runEvenLoad,
+				Flags: []cli.Flag{
+					seed,
+					&cli.StringFlag{Name: "only", Usage: "run only scenarios whose name contains this"},
+					&cli.StringSliceFlag{Name: "policy", Value: zyexperiment.EvenPolicyStrings(), Usage: "policies to compare"},
+				},
+			},
 			{
 				Name: "members", Usage: "failure detection as the number of nodes grows", Action: runMembers,
 				Flags: []cli.Flag{
@@ -91,6 +100,22 @@
 	return nil
 }
 
+func runEvenLoad(_ context.Context, c *cli.Command) error {
+	var policies []zyexperiment.EvenPolicy
+	for _, name := range c.StringSlice("policy") {
+		p, err := zyexperiment.EvenPolicyString(name)
+		if err != nil {
+			return fmt.Errorf("policy %q: accepted: %v: %w", name, zyexperiment.EvenPolicyStrings(), err)
+		}
+		policies = append(policies, p)
+	}
+	scenarios := slices.DeleteFunc(zyexperiment.EvenLoadScenarios(c.Uint64("seed")), func(s zyexperiment.EvenLoadScenario) bool {
+		return !strings.Contains(s.Name, c.String("only"))
+	})
+	zyexperiment.RunEvenLoadTable(c.Root().Writer, scenarios, policies)
+	return nil
+}
+
 func runOverload(_ context.Context, c *cli.Command) error {
 	var policies []zyexperiment.Policy
 	for _, name := range c.StringSlice("policy") {
--- a/core/zyadmission/wait.go
+++ b/core/zyadmission/wait.go
@@ -6,8 +6,8 @@
 	"zinniayoke"
 )
 
-// minExpectedWait is the least wait that is expected of a call that cannot start at once.
-const minExpectedWait = 1 * time.Millisecond
+// unknownWait is expected of a call for a full worker that has not ended any call yet.
+const unknownWait = 10 * time.Millisecond
 
 // ExpectedWait returns how long the item is expected to wait if it arrives now; 0 means that
 // it starts at once.
@@ -16,17 +16,20 @@
 	if !full && len(q.waiting) == 0 && q.rateLimit.Allows(now) {
 		return 0
 	}
-	item.arrived = now
+	item.arrived, item.sequence = now, q.sequence+1
 	ahead := 0
 	q.tree.AscendLessThan(item, func(Item) bool {
 		ahead++
 		return true
 	})
 	wait := q.rateLimit.Wait(now, ahead+1)
-	if full {
+	switch {
+	case full && q.meanServiceTime > 0:
 		wait = max(wait, time.Duration(ahead+1)*q.meanServiceTime/time.Duration(q.Limit()))
+	case full:
+		wait = max(wait, unknownWait)
 	}
-	return max(wait, minExpectedWait)
+	return max(wait, 1)
 }
 
 // Report returns the load of the worker, of the given speed. A worker that accepts only a
--- a/core/zybalancer/even.go
+++ b/core/zybalancer/even.go
@@ -59,23 +59,28 @@
 
 // candidate is an upstream with its expected load.
 type candidate struct {
-	zinniayoke.Upstream
+	*zinniayoke.Upstream
+	stats        *upstreamStats
+	ejected      bool
 	limit, speed float64
 	// occupied is the expected number of calls that run and wait, spread its uncertainty.
 	occupied, spread float64
 	holdTime         time.Duration
 }
 
+// tierSet holds the candidates for a call by tier. Their load is estimated when a tier is
+// first asked for, because most calls stay in the nearest one.
+type tierSet struct {
+	now       time.Time
+	lists     [tierCount][]candidate
+	estimated [tierCount]bool
+}
+
 // room returns how many more calls the worker is expected to run at once.
 func (c *candidate) room() float64 {
 	return c.limit - c.occupied
 }
 
-// roomShare returns the room in relation to the limit.
-func (c *candidate) roomShare() float64 {
-	return c.room() / c.limit
-}
-
 // wait returns how long a call is expected to wait at the worker. Where as many calls as the
 // limit are expected, some calls have to wait and others not.
 func (c *candidate) wait() time.Duration {
@@ -96,133 +101,166 @@
 }
 
 // PickEven is Pick for the even distribution of load. The first choice is a worker of the
-// nearest failure domain, drawn by expected room and speed. If that one is busy, the second
-// choice is the worker with the lowest cost: the expected wait, the distance, and for leaving
-// the failure domain the wait that the call tolerates.
+// nearest failure domain, in turn by expected room and speed. If that one is busy, the next
+// choice is a worker with the lowest cost: the expected wait, the distance, and for leaving the
+// failure domain a part of the wait that the call tolerates.
 func (p *Picker) PickEven(now time.Time, r EvenRequest) (EvenChoice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.eligible(now, p.cfg.Resolver.Upstreams(r.Service), r.Exclude)
-	if accepting := p.accepting(now, r.Rank, list); len(accepting) > 0 {
-		list = accepting
-	}
-	if len(list) == 0 {
-		return EvenChoice{}, false
-	}
-	tiers := p.candidates(now, list)
-	if r.Redirects > 0 {
-		chosen := p.lowestCost(tiers, r.Tolerance)
-		choice := EvenChoice{Upstream: chosen.Upstream, RoomNearby: roomBeside(tiers[0], chosen)}
+	tiers := p.candidates(now, r)
+	for tier, near := range tiers.lists {
+		if len(near) == 0 {
+			continue
+		}
+		var chosen *candidate
+		if r.Redirects == 0 {
+			chosen = p.nextByRoom(tiers.at(tier))
+		} else {
+			tier, chosen = p.lowestCost(tiers, r.Tolerance)
+		}
+		choice := EvenChoice{Upstream: *chosen.Upstream, RoomNearby: roomBeside(tiers.at(0), chosen)}
 		if r.Redirects < maxRedirects {
-			choice.RedirectAfter = redirectAfter(tiers, p.tierOf(chosen.Upstream), chosen, r.Tolerance)
+			choice.RedirectAfter = redirectAfter(tiers, tier, chosen, r.Tolerance)
 		}
 		return choice, true
 	}
-	for tier, near := range tiers {
-		if len(near) > 0 {
-			chosen := p.nextByRoom(near)
-			return EvenChoice{
-				Upstream: chosen.Upstream, RedirectAfter: redirectAfter(tiers, tier, chosen, r.Tolerance), RoomNearby: roomBeside(tiers[0], chosen),
-			}, true
-		}
-	}
 	return EvenChoice{}, false
 }
 
 // roomBeside reports whether a candidate other than the chosen one is expected to have room.
 func roomBeside(list []candidate, chosen *candidate) bool {
-	return slices.ContainsFunc(list, func(c candidate) bool { return c.Node != chosen.Node && c.room() >= 1 })
+	for i := range list {
+		if list[i].Node != chosen.Node && list[i].room() >= 1 {
+			return true
+		}
+	}
+	return false
 }
 
-// candidates returns the upstreams of each tier with their expected load.
-func (p *Picker) candidates(now time.Time, list []zinniayoke.Upstream) [tierCount][]candidate {
-	var tiers [tierCount][]candidate
-	var means [tierCount]zyevenload.MeanUse
-	for _, u := range list {
-		tier := p.tierOf(u)
-		tiers[tier] = append(tiers[tier], candidate{Upstream: u})
-		if s, ok := p.nodes[u.Node]; ok && s.estimate.Known() {
-			means[tier].Add(now, &s.estimate)
+// candidates returns the upstreams that may get the call, by the rules of Pick.
+func (p *Picker) candidates(now time.Time, r EvenRequest) *tierSet {
+	all := p.cfg.Resolver.Upstreams(r.Service)
+	list := p.scratch[:0]
+	ejected := 0
+	for i := range all {
+		if !p.usable(now, all[i], r.Exclude) {
+			continue
 		}
+		c := candidate{Upstream: &all[i], stats: p.nodes[all[i].Node]}
+		if c.stats != nil && now.Before(c.stats.ejectedUntil) {
+			c.ejected = true
+			ejected++
+		}
+		list = append(list, c)
+	}
+	p.scratch = list
+	if ejected < len(list) && ejected*maxEjectedDivisor <= len(all) {
+		list = slices.DeleteFunc(list, func(c candidate) bool { return c.ejected })
+	}
+	refuses := func(c candidate) bool {
+		return c.stats != nil && c.stats.threshold > r.Rank && now.Sub(c.stats.repliedAt) < thresholdTTL
 	}
-	for tier := range tiers {
-		use := means[tier].Value()
-		for i := range tiers[tier] {
-			p.expect(now, &tiers[tier][i], use)
+	if !slices.ContainsFunc(list, func(c candidate) bool { return !refuses(c) }) {
+		refuses = func(candidate) bool { return false }
+	}
+	tiers := &p.tiers
+	*tiers = tierSet{now: now, lists: [tierCount][]candidate{tiers.lists[0][:0], tiers.lists[1][:0], tiers.lists[2][:0]}}
+	for _, c := range list {
+		if !refuses(c) {
+			tier := p.tierOf(*c.Upstream)
+			tiers.lists[tier] = append(tiers.lists[tier], c)
 		}
 	}
 	return tiers
 }
 
-// expect sets the expected load of the candidate. A worker that no report is known of is
-// expected to be used like the others of its tier.
-func (p *Picker) expect(now time.Time, c *candidate, use float64) {
-	s, ok := p.nodes[c.Node]
-	if ok && s.estimate.Known() {
-		r := s.estimate.Report()
+// at returns the candidates of a tier with their expected load. Workers that no report is
+// known of are expected to be used like the others.
+func (t *tierSet) at(tier int) []candidate {
+	list := t.lists[tier]
+	if t.estimated[tier] {
+		return list
+	}
+	t.estimated[tier] = true
+	var mean zyevenload.MeanUse
+	speeds, known := 0.0, 0.0
+	for i := range list {
+		if s := list[i].stats; s != nil && s.estimate.Known() {
+			mean.Add(t.now, &s.estimate)
+			speeds, known = speeds+s.estimate.Report().Speed, known+1
+		}
+	}
+	for i := range list {
+		list[i].expect(t.now, mean.Value(), speeds/max(known, 1))
+	}
+	return list
+}
+
+// expect sets the expected load of the candidate, in a group with that mean use and speed.
+func (c *candidate) expect(now time.Time, use, meanSpeed float64) {
+	if c.stats != nil && c.stats.estimate.Known() {
+		r := c.stats.estimate.Report()
 		c.limit, c.speed, c.holdTime = float64(r.Limit), r.Speed, r.HoldTime
-		c.occupied, c.spread = s.estimate.Occupied(now, use)
+		c.occupied, c.spread = c.stats.estimate.Occupied(now, useAtSpeed(use, c.speed/meanSpeed))
 		return
 	}
 	c.limit, c.speed = max(workerSlotShare*float64(c.Slots), 1), 1
 	c.occupied, c.spread = use*c.limit, math.Sqrt(c.limit)
-	if ok {
-		c.occupied = max(c.occupied, float64(s.inFlight))
+	if c.stats != nil {
+		c.occupied = max(c.occupied, float64(c.stats.inFlight))
 	}
 }
 
-// drawByRoom draws a candidate at random, in proportion to its room and speed.
-func (p *Picker) drawByRoom(list []candidate) *candidate {
-	sum := 0.0
-	for i := range list {
-		sum += list[i].weight()
-	}
-	draw := p.cfg.Random.Float64() * sum
-	for i := range list {
-		if draw -= list[i].weight(); draw < 0 {
-			return &list[i]
-		}
+// useAtSpeed returns the use that weight leads to for a worker of that speed in relation to
+// the mean, in a group with that mean use.
+func useAtSpeed(meanUse, speed float64) float64 {
+	if meanUse >= 1 {
+		return meanUse
 	}
-	return &list[len(list)-1]
+	odds := speed * speed
+	return meanUse * odds / (1 - meanUse + meanUse*odds)
 }
 
-// nextByRoom returns the candidates in turn, each as often as its room and speed warrant. That
-// spreads the calls of one node more evenly than a random draw.
+// nextByRoom returns the candidates in turn, each as often as its weight warrants. That spreads
+// the calls of one node more evenly than a random draw.
 func (p *Picker) nextByRoom(list []candidate) *candidate {
 	sum := 0.0
 	for i := range list {
 		sum += list[i].weight()
 	}
 	best := &list[0]
-	var most *upstreamStats
 	for i := range list {
-		s, ok := p.nodes[list[i].Node]
-		if !ok {
-			s = &upstreamStats{turn: p.cfg.Random.Float64()}
-			p.nodes[list[i].Node] = s
+		c := &list[i]
+		if c.stats == nil {
+			c.stats = p.statsOf(p.tiers.now, c.Node)
+			c.stats.turn = p.cfg.Random.Float64()
 		}
-		s.turn += list[i].weight() / sum
-		if most == nil || s.turn > most.turn {
-			best, most = &list[i], s
+		c.stats.turn += c.weight() / sum
+		if c.stats.turn > best.stats.turn {
+			best = c
 		}
 	}
-	most.turn--
+	best.stats.turn--
 	return best
 }
 
-// weight returns the expected room multiplied by the speed. It falls steeply but not to zero
-// where little room is expected, so that fuller workers still get fewer calls when all are full.
+// weight returns the share of the calls that the worker should get. With the room multiplied by
+// the speed, all workers would be used to the same share. The third power of the speed has fast
+// workers used first, where calls end earlier: in the experiment calls took 16% less time at
+// utilization 0.5 and 5% less at 0.8, and waited no longer. The weight falls steeply but not to
+// zero where little room is expected, so that fuller workers still get fewer calls when all are
+// full.
 func (c *candidate) weight() float64 {
-	share := c.roomShare()
+	share := c.room() / c.limit
 	if share < littleRoomShare {
 		share = littleRoomShare * math.Exp(max(share/littleRoomShare-1, -maxExponent))
 	}
-	return share * c.limit * c.speed
+	return share * c.limit * c.speed * c.speed * c.speed
 }
 
 // redirectAfter returns the wait above which another worker is a better choice than the chosen
 // one, 0 if there is no other.
-func redirectAfter(tiers [tierCount][]candidate, tier int, chosen *candidate, tolerance time.Duration) time.Duration {
+func redirectAfter(tiers *tierSet, tier int, chosen *candidate, tolerance time.Duration) time.Duration {
 	var lowest time.Duration
 	found := false
 	for further := tier; further < tierCount; further++ {
@@ -230,8 +268,9 @@
 		if found && base >= lowest {
 			break
 		}
-		for i := range tiers[further] {
-			c := &tiers[further][i]
+		list := tiers.at(further)
+		for i := range list {
+			c := &list[i]
 			if c.Node == chosen.Node {
 				continue
 			}
@@ -250,13 +289,14 @@
 	return max(lowest, minRedirectWait)
 }
 
-// lowestCost returns a candidate of the tier with the lowest cost, drawn by room and speed
-// among those of about that cost. Were it always the one with most room, all nodes would fill
-// it at the same time.
-func (p *Picker) lowestCost(tiers [tierCount][]candidate, tolerance time.Duration) *candidate {
+// lowestCost returns a candidate of the tier with the lowest cost, drawn by weight among those
+// of about that cost. Were it always the one with most room, all nodes would fill it at the
+// same time.
+func (p *Picker) lowestCost(tiers *tierSet, tolerance time.Duration) (int, *candidate) {
 	best, found := 0, false
 	var lowest time.Duration
-	for tier, list := range tiers {
+	for tier := range tierCount {
+		list := tiers.at(tier)
 		for i := range list {
 			cost := list[i].wait() + roundTrip(tier) + price(tier, tolerance)
 			if !found || cost < lowest {
@@ -264,14 +304,30 @@
 			}
 		}
 	}
-	lowest -= roundTrip(best) + price(best, tolerance)
-	var similar []candidate
-	for _, c := range tiers[best] {
-		if c.wait() <= lowest+minRedirectWait {
-			similar = append(similar, c)
+	longest := lowest - roundTrip(best) - price(best, tolerance) + minRedirectWait
+	return best, p.drawByWeight(tiers.at(best), longest)
+}
+
+// drawByWeight draws at random, by weight, a candidate with at most that expected wait.
+func (p *Picker) drawByWeight(list []candidate, longest time.Duration) *candidate {
+	sum := 0.0
+	for i := range list {
+		if list[i].wait() <= longest {
+			sum += list[i].weight()
+		}
+	}
+	draw := p.cfg.Random.Float64() * sum
+	chosen := &list[0]
+	for i := range list {
+		if list[i].wait() > longest {
+			continue
+		}
+		chosen = &list[i]
+		if draw -= chosen.weight(); draw < 0 {
+			break
 		}
 	}
-	return p.drawByRoom(similar)
+	return chosen
 }
 
 func roundTrip(tier int) time.Duration {
--- a/core/zybalancer/picker.go
+++ b/core/zybalancer/picker.go
@@ -68,6 +68,9 @@
 	// lowestLatency is the lowest latency among the upstreams of the service being
 	// picked.
 	lowestLatency time.Duration
+	// tiers and scratch are buffers of PickEven.
+	tiers   tierSet
+	scratch []candidate
 }
 
 // upstreamStats is what this node observed of an upstream.
--- a/core/zyegress/even_load.go
+++ b/core/zyegress/even_load.go
@@ -12,6 +12,9 @@
 // client's call is an eighth of its latency objective, and is all tolerated.
 const childToleranceDivisor = 8
 
+// defaultTolerance is tolerated by a call without a maximum wait of its own.
+const defaultTolerance = 50 * time.Millisecond
+
 // avoidableWait is the wait from which on a call counts as having waited.
 const avoidableWait = 1 * time.Millisecond
 
@@ -44,7 +47,10 @@
 
 // tolerance returns the wait that costs the call nothing.
 func tolerance(c *zinniayoke.Call) time.Duration {
-	if c.Depth == 0 {
+	switch {
+	case c.MaxWait == 0:
+		return defaultTolerance
+	case c.Depth == 0:
 		return c.MaxWait
 	}
 	return c.MaxWait / childToleranceDivisor
--- a/core/zyexperiment/even_load.go
+++ b/core/zyexperiment/even_load.go
@@ -48,6 +48,9 @@
 	// AvoidableWaits is the share of calls that waited while a worker in the sender's failure
 	// domain had a free slot. LateCalls is the share that waited longer than is tolerated.
 	AvoidableWaits, LateCalls float64
+	// MeanTime and P99Time are of the time from the send to the end of the work, as a multiple
+	// of the mean work at speed 1.
+	MeanTime, P99Time float64
 	// OtherDomain and OtherRegion are the shares of calls that left the domain and the region.
 	OtherDomain, OtherRegion float64
 	// Redirected is the share of calls that a busy worker's node refused, Refused the share
@@ -77,10 +80,13 @@
 	evenSubsetPeriod = 10 * time.Second
 	farCallTimeout   = time.Hour
 	workSpread       = 0.5
-	percentOfLoad    = 100
-	evenCrossRegion  = 0.8 // As on the platform.
-	evenCrossDomain  = 0.2
-	evenComfortable  = 0.6
+	// longShare of the calls take longFactor times the work of the others, as on D2.
+	longShare       = 0.03
+	longFactor      = 7
+	percentOfLoad   = 100
+	evenCrossRegion = 0.8 // As on the platform.
+	evenCrossDomain = 0.2
+	evenComfortable = 0.6
 )
 
 // evenWorker is a worker and the part of its node that admits calls.
@@ -139,6 +145,7 @@
 	work   time.Duration
 	nextID int
 
+	times                                                      []float64
 	waits, added                                               []time.Duration
 	avoidable, late, otherDomain, otherRegion, redirects, lost int
 	ratios, ratioCount                                         float64
@@ -414,6 +421,9 @@
 		n.picker.Replied(now, w.upstream.Node, 0, &zinniayoke.Reply{Outcome: zinniayoke.OutcomeNotRun, Reason: zinniayoke.ReasonBusy})
 		s.hear(n, s.indexOf(w.upstream.Node), r, 0)
 		choice, _ := n.picker.PickEven(now, zybalancer.EvenRequest{Service: evenService, Tolerance: evenTolerance, Redirects: c.redirects})
+		if s.cfg.Policy == EvenRedirectedOnce {
+			choice.RedirectAfter = 0
+		}
 		s.sendAttempt(c, s.workers[s.indexOf(choice.Node)], choice.RedirectAfter)
 	})
 }
@@ -439,9 +449,13 @@
 
 func (s *evenSim) start(c *evenCall, w *evenWorker) {
 	c.started = s.clock.now
-	work := float64(s.work) * (1 - workSpread + 2*workSpread*s.random.Float64())
+	work := float64(s.work) / (1 + longShare*(longFactor-1)) * (1 - workSpread + 2*workSpread*s.random.Float64())
+	if s.random.Float64() < longShare {
+		work *= longFactor
+	}
 	hold := w.serviceTime(s.clock.since(), work)
 	if c.measured {
+		s.times = append(s.times, float64(c.started.Sub(c.created)+hold)/float64(s.work))
 		wait := c.started.Sub(c.arrived)
 		s.waits = append(s.waits, wait)
 		s.added = append(s.added, c.started.Sub(c.created)+s.delay(c.node, w))
@@ -498,12 +512,21 @@
 	for _, w := range s.waits {
 		sum += w
 	}
+	slices.Sort(s.times)
+	meanTime, p99Time := 0.0, 0.0
+	for _, t := range s.times {
+		meanTime += t / n
+	}
+	if len(s.times) > 0 {
+		p99Time = s.times[len(s.times)*99/100]
+	}
 	const p50, p99, p999 = 0.5, 0.99, 0.999
 	return EvenLoadResult{
 		BusiestToMean: s.ratios / max(s.ratioCount, 1),
 		WaitP50:       at(s.waits, p50), WaitP99: at(s.waits, p99), WaitP999: at(s.waits, p999), AddedP99: at(s.added, p99),
 		MeanWait: sum / time.Duration(n), AvoidableWaits: float64(s.avoidable) / n, LateCalls: float64(s.late) / n,
 		OtherDomain: float64(s.otherDomain) / n, OtherRegion: float64(s.otherRegion) / n,
+		MeanTime: meanTime, P99Time: p99Time,
 		Redirected: float64(s.redirects) / n, Refused: float64(s.lost) / n,
 	}
 }
--- a/core/zyexperiment/even_policy.go
+++ b/core/zyexperiment/even_policy.go
@@ -25,6 +25,8 @@
 	EvenTokens
 	// EvenExpectedRoom is Picker.PickEven without redirection.
 	EvenExpectedRoom
+	// EvenRedirectedOnce is Picker.PickEven with at most one redirection of a call.
+	EvenRedirectedOnce
 	// EvenRedirected is Picker.PickEven.
 	EvenRedirected
 )
@@ -41,7 +43,7 @@
 	case EvenPowerOfTwo:
 		u, _ := n.picker.Pick(now, evenService, 0, nil)
 		return s.workers[s.indexOf(u.Node)], 0
-	case EvenExpectedRoom, EvenRedirected:
+	case EvenExpectedRoom, EvenRedirectedOnce, EvenRedirected:
 		choice, _ := n.picker.PickEven(now, zybalancer.EvenRequest{Service: evenService, Tolerance: evenTolerance})
 		w := s.workers[s.indexOf(choice.Node)]
 		if s.cfg.Policy == EvenExpectedRoom {
--- a/core/zyexperiment/even_table.go
+++ b/core/zyexperiment/even_table.go
@@ -18,15 +18,15 @@
 // and utilizations, with steady demand and with demand that oscillates.
 func EvenLoadScenarios(seed uint64) []EvenLoadScenario {
 	const (
-		workers, slots          = 39, 36
-		rate                    = 490
-		duration                = 70 * time.Second
-		amplitude               = 0.55
-		fewNodes, nodes, many   = 30, 71, 300
-		otherNodes              = 79
-		half, high, nearlyFull  = 0.5, 0.8, 0.95
-		newReports, oldReports  = 5 * time.Millisecond, 500 * time.Millisecond
-		middleReports, noReport = 50 * time.Millisecond, 0
+		workers, slots         = 39, 36
+		rate                   = 490
+		duration               = 70 * time.Second
+		amplitude              = 0.55
+		fewNodes, nodes, many  = 30, 71, 300
+		otherNodes             = 79
+		half, high, nearlyFull = 0.5, 0.8, 0.95
+		newReports, oldReports = 5 * time.Millisecond, 500 * time.Millisecond
+		middleReports          = 50 * time.Millisecond
 	)
 	base := EvenLoadConfig{Nodes: nodes, Workers: workers, Slots: slots, Rate: rate, Utilization: high, Noise: true, Duration: duration, Seed: seed}
 	var list []EvenLoadScenario
@@ -67,12 +67,12 @@
 	}
 	active.Wait()
 	const percent = 100
-	_, _ = fmt.Fprintln(w, "| scenario | policy | busiest/mean | wait p50 ms | p99 | p99.9 | mean | avoidable | over tolerance | other domain | other region | redirected |")
-	_, _ = fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|---|---|---|")
+	_, _ = fmt.Fprintln(w, "| scenario | policy | busiest/mean | wait p50 ms | p99 | p99.9 | mean | avoidable | over tolerance | other domain | other region | redirected | time mean | p99 |")
+	_, _ = fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")
 	for i, r := range results {
-		_, _ = fmt.Fprintf(w, "| %s | %s | %.2f | %d | %d | %d | %.1f | %.2f%% | %.2f%% | %.1f%% | %.1f%% | %.1f%% |\n",
+		_, _ = fmt.Fprintf(w, "| %s | %s | %.2f | %d | %d | %d | %.1f | %.2f%% | %.2f%% | %.1f%% | %.1f%% | %.1f%% | %.2f | %.2f |\n",
 			scenarios[i/len(policies)].Name, policies[i%len(policies)], r.BusiestToMean,
 			r.WaitP50.Milliseconds(), r.WaitP99.Milliseconds(), r.WaitP999.Milliseconds(), float64(r.MeanWait)/float64(time.Millisecond),
-			percent*r.AvoidableWaits, percent*r.LateCalls, percent*r.OtherDomain, percent*r.OtherRegion, percent*r.Redirected)
+			percent*r.AvoidableWaits, percent*r.LateCalls, percent*r.OtherDomain, percent*r.OtherRegion, percent*r.Redirected, r.MeanTime, r.P99Time)
 	}
 }
--- a/core/zyexperiment/generate.go
+++ b/core/zyexperiment/generate.go
@@ -1,3 +1,4 @@
 package zyexperiment
 
-//go:generate enumer -type=Policy,EvenPolicy -linecomment -transform=title-lower
+//go:generate enumer -type=Policy -linecomment -transform=title-lower
+//go:generate enumer -type=EvenPolicy -trimprefix=Even -transform=title-lower
--- a/io/zylogger/eventlog.go
+++ b/io/zylogger/eventlog.go
@@ -76,9 +76,12 @@
 	return xxhash.Sum64String(string(id))%sampleInterval == 0
 }
 
+// isFailure reports whether the event is of a failure. A call that a busy worker's node sends
+// back goes to another worker.
 func isFailure(e *zinniayoke.Event) bool {
 	const serverFault = 500
-	return e.Reason != zinniayoke.ReasonNone || e.Status >= serverFault
+	refused := e.Reason != zinniayoke.ReasonNone && e.Reason != zinniayoke.ReasonBusy
+	return refused || e.Status >= serverFault
 }
 
 // allow reports whether the event is sampled or within its rate limit. At most once
