--- /dev/null
+++ b/core/zybalancer/even.go
@@ -0,0 +1,360 @@
+package zybalancer
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"zinniayoke"
+	"zinniayoke/core/zyevenload"
+)
+
+const (
+	// littleRoomShare is the share of a worker's limit below which its room counts less than in
+	// proportion, maxExponent limits how much less.
+	littleRoomShare = 0.1
+	maxExponent     = 20
+	// A call is redirected to a worker without expected room only if it has to wait
+	// fullWaitFactor times as long as there, because such redirections gain little.
+	fullWaitFactor = 2
+	// workerSlotShare is the share of the announced slots that is assumed to be the limit of a
+	// worker that no report is known of.
+	workerSlotShare = 0.94
+	// Round trips and the price of bytes are those of the platform's networks: 0.2 ms inside
+	// a failure domain, 2 ms between domains of a region, 60 ms between regions.
+	domainRoundTrip    = 200 * time.Microsecond
+	regionRoundTrip    = 2 * time.Millisecond
+	elsewhereRoundTrip = 60 * time.Millisecond
+	// minRedirectWait is the expected wait above which a call is sent to another worker in the
+	// same failure domain. It is several round trips, because a redirected call costs two
+	// nodes another 0.1 ms of processor time.
+	minRedirectWait = 1 * time.Millisecond
+	// maxRedirects is how many nodes may refuse a call as busy. With one, what leaves a full
+	// failure domain met long queues elsewhere, of which reports came seconds late: 1.0 s at
+	// the 99th percentile instead of 0.3 s in the experiment with demand that oscillates.
+	maxRedirects = 2
+)
+
+// EvenRequest describes the call for which PickEven chooses an upstream.
+type EvenRequest struct {
+	Service zinniayoke.Service
+	Rank    zinniayoke.Rank
+	Exclude []zinniayoke.NodeID
+	// Tolerance is the wait that costs the call nothing. To leave the failure domain must
+	// save more.
+	Tolerance time.Duration
+	// Redirects is how many nodes have refused the call because their worker is busy.
+	Redirects int
+}
+
+// EvenChoice is an upstream chosen by PickEven.
+type EvenChoice struct {
+	zinniayoke.Upstream
+	// RedirectAfter is the expected wait above which the upstream should refuse the call as
+	// busy; 0 means that there is no better choice.
+	RedirectAfter time.Duration
+	// RoomNearby is true if another worker in the own failure domain is expected to have room.
+	RoomNearby bool
+}
+
+// candidate is an upstream with its expected load.
+type candidate struct {
+	*zinniayoke.Upstream
+	stats        *upstreamStats
+	ejected      bool
+	limit, speed float64
+	// occupied is the expected number of calls that run and wait, spread its uncertainty.
+	occupied, spread float64
+	holdTime         time.Duration
+}
+
+// tierSet holds the candidates for a call by tier. Their load is estimated when a tier is
+// first asked for, because most calls stay in the nearest one.
+type tierSet struct {
+	now       time.Time
+	lists     [tierCount][]candidate
+	estimated [tierCount]bool
+}
+
+// room returns how many more calls the worker is expected to run at once.
+func (c *candidate) room() float64 {
+	return c.limit - c.occupied
+}
+
+// wait returns how long a call is expected to wait at the worker. Where as many calls as the
+// limit are expected, some calls have to wait and others not.
+func (c *candidate) wait() time.Duration {
+	const certain = 3
+	excess := c.occupied - c.limit + 1
+	switch {
+	case c.spread <= 0:
+		excess = max(excess, 0)
+	case excess < -certain*c.spread:
+		return 0
+	default:
+		// The mean of the positive part of a normal distribution.
+		z := excess / c.spread
+		density := math.Exp(-z*z/2) / math.Sqrt(2*math.Pi)
+		excess = c.spread*density + excess*math.Erfc(-z/math.Sqrt2)/2
+	}
+	return time.Duration(excess / c.limit * float64(c.holdTime))
+}
+
+// PickEven is Pick for the even distribution of load. The first choice is a worker of the
+// nearest failure domain, in turn by expected room and speed. If that one is busy, the next
+// choice is a worker with the lowest cost: the expected wait, the distance, and for leaving the
+// failure domain a part of the wait that the call tolerates.
+func (p *Picker) PickEven(now time.Time, r EvenRequest) (EvenChoice, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	tiers := p.candidates(now, r)
+	for tier, near := range tiers.lists {
+		if len(near) == 0 {
+			continue
+		}
+		var chosen *candidate
+		if r.Redirects == 0 {
+			chosen = p.nextByRoom(tiers.at(tier))
+		} else {
+			tier, chosen = p.lowestCost(tiers, r.Tolerance)
+		}
+		choice := EvenChoice{Upstream: *chosen.Upstream, RoomNearby: roomBeside(tiers.at(0), chosen)}
+		if r.Redirects < maxRedirects {
+			choice.RedirectAfter = redirectAfter(tiers, tier, chosen, r.Tolerance)
+		}
+		return choice, true
+	}
+	return EvenChoice{}, false
+}
+
+// roomBeside reports whether a candidate other than the chosen one is expected to have room.
+func roomBeside(list []candidate, chosen *candidate) bool {
+	for i := range list {
+		if list[i].Node != chosen.Node && list[i].room() >= 1 {
+			return true
+		}
+	}
+	return false
+}
+
+// candidates returns the upstreams that may get the call, by the rules of Pick.
+func (p *Picker) candidates(now time.Time, r EvenRequest) *tierSet {
+	all := p.cfg.Resolver.Upstreams(r.Service)
+	list := p.scratch[:0]
+	ejected := 0
+	for i := range all {
+		if !p.usable(now, all[i], r.Exclude) {
+			continue
+		}
+		c := candidate{Upstream: &all[i], stats: p.nodes[all[i].Node]}
+		if c.stats != nil && now.Before(c.stats.ejectedUntil) {
+			c.ejected = true
+			ejected++
+		}
+		list = append(list, c)
+	}
+	p.scratch = list
+	if ejected < len(list) && ejected*maxEjectedDivisor <= len(all) {
+		list = slices.DeleteFunc(list, func(c candidate) bool { return c.ejected })
+	}
+	refuses := func(c candidate) bool {
+		return c.stats != nil && c.stats.threshold > r.Rank && now.Sub(c.stats.repliedAt) < thresholdTTL
+	}
+	if !slices.ContainsFunc(list, func(c candidate) bool { return !refuses(c) }) {
+		refuses = func(candidate) bool { return false }
+	}
+	tiers := &p.tiers
+	*tiers = tierSet{now: now, lists: [tierCount][]candidate{tiers.lists[0][:0], tiers.lists[1][:0], tiers.lists[2][:0]}}
+	for _, c := range list {
+		if !refuses(c) {
+			tier := p.tierOf(*c.Upstream)
+			tiers.lists[tier] = append(tiers.lists[tier], c)
+		}
+	}
+	return tiers
+}
+
+// at returns the candidates of a tier with their expected load. Workers that no report is
+// known of are expected to be used like the others.
+func (t *tierSet) at(tier int) []candidate {
+	list := t.lists[tier]
+	if t.estimated[tier] {
+		return list
+	}
+	t.estimated[tier] = true
+	var mean zyevenload.MeanUse
+	speeds, known := 0.0, 0.0
+	for i := range list {
+		if s := list[i].stats; s != nil && s.estimate.Known() {
+			mean.Add(t.now, &s.estimate)
+			speeds, known = speeds+s.estimate.Report().Speed, known+1
+		}
+	}
+	for i := range list {
+		list[i].expect(t.now, mean.Value(), speeds/max(known, 1))
+	}
+	return list
+}
+
+// expect sets the expected load of the candidate, in a group with that mean use and speed.
+func (c *candidate) expect(now time.Time, use, meanSpeed float64) {
+	if c.stats != nil && c.stats.estimate.Known() {
+		r := c.stats.estimate.Report()
+		c.limit, c.speed, c.holdTime = float64(r.Limit), r.Speed, r.HoldTime
+		c.occupied, c.spread = c.stats.estimate.Occupied(now, useAtSpeed(use, c.speed/meanSpeed))
+		return
+	}
+	c.limit, c.speed = max(workerSlotShare*float64(c.Slots), 1), 1
+	c.occupied, c.spread = use*c.limit, math.Sqrt(c.limit)
+	if c.stats != nil {
+		c.occupied = max(c.occupied, float64(c.stats.inFlight))
+	}
+}
+
+// useAtSpeed returns the use that weight leads to for a worker of that speed in relation to
+// the mean, in a group with that mean use.
+func useAtSpeed(meanUse, speed float64) float64 {
+	if meanUse >= 1 {
+		return meanUse
+	}
+	odds := speed * speed
+	return meanUse * odds / (1 - meanUse + meanUse*odds)
+}
+
+// nextByRoom returns the candidates in turn, each as often as its weight warrants. That spreads
+// the calls of one node more evenly than a random draw.
+func (p *Picker) nextByRoom(list []candidate) *candidate {
+	sum := 0.0
+	for i := range list {
+		sum += list[i].weight()
+	}
+	best := &list[0]
+	for i := range list {
+		c := &list[i]
+		if c.stats == nil {
+			c.stats = p.statsOf(p.tiers.now, c.Node)
+			c.stats.turn = p.cfg.Random.Float64()
+		}
+		c.stats.turn += c.weight() / sum
+		if c.stats.turn > best.stats.turn {
+			best = c
+		}
+	}
+	best.stats.turn--
+	return best
+}
+
+// weight returns the share of the calls that the worker should get. With the room multiplied by
+// the speed, all workers would be used to the same share. The third power of the speed has fast
+// workers used first, where calls end earlier: in the experiment calls took 16% less time at
+// utilization 0.5 and 5% less at 0.8, and waited no longer. The weight falls steeply but not to
+// zero where little room is expected, so that fuller workers still get fewer calls when all are
+// full.
+func (c *candidate) weight() float64 {
+	share := c.room() / c.limit
+	if share < littleRoomShare {
+		share = littleRoomShare * math.Exp(max(share/littleRoomShare-1, -maxExponent))
+	}
+	return share * c.limit * c.speed * c.speed * c.speed
+}
+
+// redirectAfter returns the wait above which another worker is a better choice than the chosen
+// one, 0 if there is no other.
+func redirectAfter(tiers *tierSet, tier int, chosen *candidate, tolerance time.Duration) time.Duration {
+	var lowest time.Duration
+	found := false
+	for further := tier; further < tierCount; further++ {
+		base := roundTrip(further) + price(further, tolerance) - price(tier, tolerance)
+		if found && base >= lowest {
+			break
+		}
+		list := tiers.at(further)
+		for i := range list {
+			c := &list[i]
+			if c.Node == chosen.Node {
+				continue
+			}
+			wait := c.wait()
+			if c.room() < 1 {
+				wait = fullWaitFactor*wait + price(1, tolerance)
+			}
+			if cost := base + wait; !found || cost < lowest {
+				lowest, found = cost, true
+			}
+		}
+	}
+	if !found {
+		return 0
+	}
+	return max(lowest, minRedirectWait)
+}
+
+// lowestCost returns a candidate of the tier with the lowest cost, drawn by weight among those
+// of about that cost. Were it always the one with most room, all nodes would fill it at the
+// same time.
+func (p *Picker) lowestCost(tiers *tierSet, tolerance time.Duration) (int, *candidate) {
+	best, found := 0, false
+	var lowest time.Duration
+	for tier := range tierCount {
+		list := tiers.at(tier)
+		for i := range list {
+			cost := list[i].wait() + roundTrip(tier) + price(tier, tolerance)
+			if !found || cost < lowest {
+				best, lowest, found = tier, cost, true
+			}
+		}
+	}
+	longest := lowest - roundTrip(best) - price(best, tolerance) + minRedirectWait
+	return best, p.drawByWeight(tiers.at(best), longest)
+}
+
+// drawByWeight draws at random, by weight, a candidate with at most that expected wait.
+func (p *Picker) drawByWeight(list []candidate, longest time.Duration) *candidate {
+	sum := 0.0
+	for i := range list {
+		if list[i].wait() <= longest {
+			sum += list[i].weight()
+		}
+	}
+	draw := p.cfg.Random.Float64() * sum
+	chosen := &list[0]
+	for i := range list {
+		if list[i].wait() > longest {
+			continue
+		}
+		chosen = &list[i]
+		if draw -= chosen.weight(); draw < 0 {
+			break
+		}
+	}
+	return chosen
+}
+
+func roundTrip(tier int) time.Duration {
+	return [tierCount]time.Duration{domainRoundTrip, regionRoundTrip, elsewhereRoundTrip}[tier]
+}
+
+// price returns the wait that a call has to save for its bytes to leave the failure domain.
+// Waits vary by about as much as is expected, so that half of the tolerance keeps most calls
+// within it.
+func price(tier int, tolerance time.Duration) time.Duration {
+	if tier == 0 {
+		return 0
+	}
+	return tolerance / 2
+}
+
+// ObserveReport takes in the load that the reply of an upstream reports. A reply without a
+// report, from a node that makes none, counts by its percentage of load.
+func (p *Picker) ObserveReport(now time.Time, u zinniayoke.Upstream, r *zinniayoke.Reply) {
+	const percent = 100
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.statsOf(now, u.Node)
+	if r.Report == nil {
+		limit := max(int(workerSlotShare*float64(u.Slots)), 1)
+		s.estimate.Observe(now, zinniayoke.LoadReport{Limit: limit, Speed: 1, Running: r.Load * limit / percent})
+		return
+	}
+	s.estimate.Observe(now, *r.Report)
+}
--- a/io/zypeer/wire.go
+++ b/io/zypeer/wire.go
@@ -46,6 +46,8 @@
 	boolean(func(a *zinniayoke.Attempt) *bool { return &a.LastChoice }),
 	pointer(heardFields, func(a *zinniayoke.Attempt) **zinniayoke.HeardNotice { return &a.Heard }),
 	text(func(a *zinniayoke.Attempt) *zinniayoke.Customer { return &a.Share }),
+	integer(func(a *zinniayoke.Attempt) *time.Duration { return &a.RedirectAfter }),
+	integer(func(a *zinniayoke.Attempt) *time.Duration { return &a.UsualTime }),
 }
 
 // replyFields are the fields of a Reply, apart from the body of its response.
@@ -66,6 +68,17 @@
 	list(costFields, func(r *zinniayoke.Reply) *[]zinniayoke.ServiceCost { return &r.Costs }),
 	pointer(heardFields, func(r *zinniayoke.Reply) **zinniayoke.HeardNotice { return &r.Heard }),
 	boolean(func(r *zinniayoke.Reply) *bool { return &r.WorkerError }),
+	pointer(reportFields, func(r *zinniayoke.Reply) **zinniayoke.LoadReport { return &r.Report }),
+	integer(func(r *zinniayoke.Reply) *time.Duration { return &r.HoldTime }),
+	integer(func(r *zinniayoke.Reply) *time.Duration { return &r.Wait }),
+}
+
+var reportFields = []field[zinniayoke.LoadReport]{
+	integer(func(l *zinniayoke.LoadReport) *int { return &l.Limit }),
+	integer(func(l *zinniayoke.LoadReport) *int { return &l.Running }),
+	integer(func(l *zinniayoke.LoadReport) *int { return &l.Waiting }),
+	float(func(l *zinniayoke.LoadReport) *float64 { return &l.Speed }),
+	integer(func(l *zinniayoke.LoadReport) *time.Duration { return &l.HoldTime }),
 }
 
 var headerFields = []field[zinniayoke.Header]{
