--- a/core/zyadmission/wait.go
+++ b/core/zyadmission/wait.go
@@ -17,11 +17,8 @@
 		return 0
 	}
 	item.arrived, item.sequence = now, q.sequence+1
-	ahead := 0
-	q.tree.AscendLessThan(item, func(Item) bool {
-		ahead++
-		return true
-	})
+	item.place = q.ownPlace(&item)
+	ahead := q.countAhead(&item)
 	wait := q.rateLimit.Wait(now, ahead+1)
 	switch {
 	case full && q.meanServiceTime > 0:
