core/zyfairshare: an excess of almost 0 refuses nothing

Cause: when the capacity to divide was the whole demand within the precision of a float64, the usage of the customers was not computed, and Refuse refused all of the least important calls. Refuse ends before that, and entry nodes make no plan for shares below 0.0001. TestRefuse divides such an excess and fails without the fix.

--- a/core/zybackpressure/customers.go
+++ b/core/zybackpressure/customers.go
@@ -20,6 +20,9 @@
 	planPeriod = 50 * time.Millisecond
 	// maxFlows bounds the table. Calls beyond it are refused by the share of the route.
 	maxFlows = 4096
+	// minPlannedShare is the smallest excess share for which a plan is made. The average of
+	// reported shares never gets to 0 by itself.
+	minPlannedShare = 1e-4
 	// minUsage is the count below which a customer's calls of a route are forgotten.
 	minUsage = 0.01
 	// A customer's calls may be admitted beyond its share, because retries are preferred,
@@ -148,7 +151,7 @@
 // hasExcess reports whether a service that the route uses has reported an excess share.
 func (s *Shedder) hasExcess(now time.Time, r *routeState) bool {
 	for service, cost := range r.costs {
-		if cost > 0 && s.excessShare(now, service) > 0 {
+		if cost > 0 && s.excessShare(now, service) >= minPlannedShare {
 			return true
 		}
 	}
@@ -220,7 +223,7 @@
 		}
 	}
 	for service := range s.shares {
-		if share := s.excessShare(now, service); share > 0 {
+		if share := s.excessShare(now, service); share >= minPlannedShare {
 			s.planService(now, service, share)
 		}
 	}
--- a/core/zyfairshare/refuse.go
+++ b/core/zyfairshare/refuse.go
@@ -35,11 +35,12 @@
 	for i := range claims {
 		demand += claims[i].Demand
 	}
-	Divide(demand-refused, unit, claims)
-	slices.SortFunc(claims, func(a, b Claim) int { return cmp.Compare(a.Index, b.Index) })
-	if refused <= 0 {
+	// An excess too small to change the sum has nothing to divide.
+	if refused <= 0 || demand-refused >= demand {
 		return
 	}
+	Divide(demand-refused, unit, claims)
+	slices.SortFunc(claims, func(a, b Claim) int { return cmp.Compare(a.Index, b.Index) })
 	for i := range parts {
 		parts[i].level = claims[parts[i].Claim].Customer.Level
 	}
--- a/core/zyfairshare/share_test.go
+++ b/core/zyfairshare/share_test.go
@@ -54,6 +54,44 @@
 	})
 }
 
+// TestRefuse guards against refusing more or less than asked for, also of an excess that is
+// almost 0, and against refusing a customer more than what Divide leaves it.
+func TestRefuse(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		claims := make([]zyfairshare.Claim, rapid.IntRange(1, 20).Draw(t, "claims"))
+		var parts []zyfairshare.Part
+		demand := 0.0
+		for i := range claims {
+			claims[i].Index = i
+			claims[i].Customer = zyfairshare.Customer{Weight: rapid.Float64Range(0.1, 100).Draw(t, "weight"), Level: rapid.IntRange(0, 2).Draw(t, "level")}
+			for kind := range rapid.IntRange(1, 3).Draw(t, "kinds") {
+				part := zyfairshare.Part{Claim: i, Importance: kind, Cost: 1, Demand: rapid.Float64Range(0.001, 50).Draw(t, "demand")}
+				parts = append(parts, part)
+				claims[i].Demand += part.Demand
+				demand += part.Demand
+			}
+		}
+		share := rapid.SampledFrom([]float64{0, 1e-25, 1e-4, 0.1, 0.5, 0.98}).Draw(t, "share")
+		zyfairshare.Refuse(share*demand, 1, claims, parts)
+		refused, byClaim := 0.0, make([]float64, len(claims))
+		for _, p := range parts {
+			if p.Refused < 0 || p.Refused > p.Demand*(1+1e-9) {
+				t.Fatalf("%v of a part of %v is refused", p.Refused, p.Demand)
+			}
+			refused += p.Refused
+			byClaim[p.Claim] += p.Refused
+		}
+		if math.Abs(refused-share*demand) > 1e-5*demand {
+			t.Fatalf("%v is refused, want %v", refused, share*demand)
+		}
+		for i, c := range claims {
+			if kept := c.Demand - byClaim[i]; kept < (zyfairshare.MinServedRatio-1e-6)*(1-share)*c.Demand {
+				t.Fatalf("claim %d of %v keeps %v at share %v", i, c.Demand, kept, share)
+			}
+		}
+	})
+}
+
 // TestDivideByWeightAndPriority checks what customers get that ask for many calls, so that
 // random variation does not count.
 func TestDivideByWeightAndPriority(t *testing.T) {
