core/zyentry: no threshold for calls of workers where a graph is learned

Cause: at the end of each call of a worker the entry took the median of the thresholds of all workers of its route. With a Graph, replies carry costs, and the receiver does not read the result. Change: it is computed without a Graph only.

--- a/core/zyentry/child.go
+++ b/core/zyentry/child.go
@@ -56,11 +56,12 @@
 	return fmt.Sprintf("a call to %s was answered %d", s, reply.Response.Status)
 }
 
-// endChild ends the call at its parent and reports the threshold of its route.
+// endChild ends the call at its parent and reports the threshold of its route. With a Graph,
+// replies carry costs instead of thresholds, and nobody reads it.
 func (e *Entry) endChild(cs *callState) {
 	now := time.Now()
 	threshold := zinniayoke.Rank(0)
-	if cs.route != nil {
+	if cs.route != nil && e.cfg.Graph == nil {
 		threshold = e.cfg.Thresholds.Threshold(now, cs.route.Name)
 	}
 	cs.parent.EndChild(now, threshold)
