--- a/cmd/zinniayoke/cost_bench_test.go
+++ b/cmd/zinniayoke/cost_bench_test.go
@@ -40,6 +40,8 @@
 drain = 2500ms
 [memory]
 limit = 184MiB
+[processor]
+threads = 1
 [retry]
 ratio = 0.2
 window = 10s
@@ -67,14 +69,18 @@
 	slots       int
 }
 
+// costRuns counts the runs. Each has addresses and instances of its own, so that a late
+// heartbeat of a worker of the previous run is of no effect.
+var costRuns int
+
 func newCostHost(b *testing.B, number int, service, store string, slots int, handle func(*zyfake.Request) (int, []byte)) *costHost {
-	worker, err := zyfake.NewWorker(fmt.Sprint("i-", number))
+	worker, err := zyfake.NewWorker(fmt.Sprintf("i-%d-%d", costRuns, number))
 	if err != nil {
 		b.Fatal(err)
 	}
 	b.Cleanup(worker.Close)
 	worker.Handle = handle
-	h := &costHost{ip: fmt.Sprintf("127.78.0.%d", number), service: service, worker: worker, slots: slots}
+	h := &costHost{ip: fmt.Sprintf("127.78.%d.%d", costRuns, number), service: service, worker: worker, slots: slots}
 	file := filepath.Join(b.TempDir(), "node.ini")
 	text := fmt.Sprintf(costSettings, fmt.Sprint("host", number), h.ip, store, service, worker.Address())
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
@@ -184,6 +190,7 @@
 }
 
 func benchmarkNodeCost(b *testing.B, c costCase) {
+	costRuns++
 	store := &zyfake.Store{}
 	server := httptest.NewServer(store)
 	b.Cleanup(server.Close)
--- a/cmd/zinniayoke/node.go
+++ b/cmd/zinniayoke/node.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -49,6 +50,9 @@
 	if settings.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(settings.MemoryLimit) * heapPercent / percent)
 	}
+	if settings.Threads > 0 {
+		runtime.GOMAXPROCS(settings.Threads)
+	}
 	var node *zynode.Node
 	app := zynode.App(cfg, fx.Populate(&node))
 	startCtx, cancel := context.WithTimeout(context.Background(), app.StartTimeout())
--- a/core/zysettings/settings.go
+++ b/core/zysettings/settings.go
@@ -32,7 +32,10 @@
 	StoreAddress string
 	Worker       Worker
 	// MemoryLimit is the memory limit of the process, or 0 for none.
-	MemoryLimit        zinniayoke.Bytes
+	MemoryLimit zinniayoke.Bytes
+	// Threads is how many threads execute the program at the same time, or 0 for the default
+	// of the Go runtime.
+	Threads            int
 	ServiceRetryBudget ServiceRetryBudget
 }
 
@@ -104,6 +107,7 @@
 	defaultHeartbeat = time.Second
 	minMemoryLimit   = 32 * zinniayoke.MiB
 	maxMemoryLimit   = 64 * 1024 * zinniayoke.MiB
+	maxThreads       = 1024
 	maxRetryRatio    = 100
 	maxRetrySlack    = 1_000_000
 )
@@ -175,6 +179,8 @@
 		s.Worker.Drain = zyini.Get(section, "drain", zyini.Duration(0, maxDuration), 0)
 	case "memory":
 		s.MemoryLimit = zyini.Require(section, "limit", zyini.Size(minMemoryLimit, maxMemoryLimit))
+	case "processor":
+		s.Threads = zyini.Require(section, "threads", zyini.Integer(1, maxThreads))
 	case "retry":
 		s.ServiceRetryBudget.Ratio = zyini.Require(section, "ratio", zyini.Float(maxRetryRatio))
 		s.ServiceRetryBudget.Window = zyini.Require(section, "window", zyini.Duration(time.Second, maxDuration))
@@ -190,7 +196,7 @@
 		s.Shutdown.Grace = zyini.Get(section, "grace", zyini.Duration(0, maxDuration), defaultGrace)
 		s.Shutdown.DrainDelay = zyini.Get(section, "notice", zyini.Duration(0, maxDuration), 0)
 	default:
-		section.RejectHeader("an unknown section", "node, listen, peers, log, store, worker, memory, retry, logging, approvals, approver, shutdown")
+		section.RejectHeader("an unknown section", "node, listen, peers, log, store, worker, memory, processor, retry, logging, approvals, approver, shutdown")
 	}
 }
 
--- a/core/zysettings/settings_test.go
+++ b/core/zysettings/settings_test.go
@@ -52,6 +52,7 @@
 		{"caller = 127.0.0.1:7100", "caller = 127.0.0.1:65536", "accepted: an IP address and a port"},
 		{"level = info", "level = loud", "accepted: one of debug, info, warn, error"},
 		{"grace = 15s", "grace = 15", "accepted: a duration with its unit"},
+		{"[logging]", "[processor]\nthreads = 0\n[logging]", "accepted: a whole number from 1 to 1024"},
 		{"needed = 1", "needed = 0", "accepted: a whole number from 1 to 16"},
 		{"[log]\naddress = 127.0.0.1:7000", "", "[log]: found no such section"},
 		{"key = 7a7a", "key = 7a", "accepted: 32 bytes as hexadecimal digits"},
@@ -64,6 +65,21 @@
 	}
 }
 
+// TestThreads checks that the number of threads is read, and that without its section the
+// default of the Go runtime stays.
+func TestThreads(t *testing.T) {
+	raw, err := examples.Files.ReadFile("hollander.kurume-settings.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for text, want := range map[string]int{string(raw): 0, string(raw) + "\n[processor]\nthreads = 1\n": 1} {
+		s, err := zysettings.Parse("s.ini", []byte(text))
+		if err != nil || s.Threads != want {
+			t.Errorf("got %+v, %v, want %d threads", s, err, want)
+		}
+	}
+}
+
 // FuzzParse checks that Parse does not panic and accepts no settings without a host or
 // peer key.
 func FuzzParse(f *testing.F) {
