core/zytimer: subscribers with equal periods share a wake-up

Cause: each subscriber was due at its own offset, so that an idle node woke up separately for the ticks of the receiver and of membership (10 a second each), heartbeats of peers and the reader of the store. Change: calls are due at multiples of their period since the start of the timer service.

--- a/core/zytimer/service.go
+++ b/core/zytimer/service.go
@@ -9,9 +9,11 @@
 
 // Service calls its subscribers periodically. One goroutine waits for the next due
 // time and starts each call in a goroutine of its own. If the previous call of a
-// subscriber is still running, its next call is skipped. A Service must be created
-// with New.
+// subscriber is still running, its next call is skipped. Calls are due at multiples of
+// their period since the start of the service, so that subscribers with the same period
+// share a wake-up of the process. A Service must be created with New.
 type Service struct {
+	started  time.Time
 	mu       sync.Mutex
 	queue    subscriptionHeap
 	wake     chan struct{}
@@ -34,15 +36,21 @@
 
 // New returns a running service. Stop ends it.
 func New() *Service {
-	s := &Service{wake: make(chan struct{}, 1), done: make(chan struct{})}
+	s := &Service{started: time.Now(), wake: make(chan struct{}, 1), done: make(chan struct{})}
 	s.running.Add(1)
 	go s.run()
 	return s
 }
 
-// Every calls f once in each period until the subscription is cancelled.
+// nextDue returns the first multiple of the period after now.
+func (s *Service) nextDue(now time.Time, period time.Duration) time.Time {
+	return s.started.Add((now.Sub(s.started)/period + 1) * period)
+}
+
+// Every calls f once in each period until the subscription is cancelled. The first call may
+// come earlier than one period from now.
 func (s *Service) Every(period time.Duration, f func(now time.Time)) *Subscription {
-	sub := &Subscription{service: s, period: period, f: f, next: time.Now().Add(period)}
+	sub := &Subscription{service: s, period: period, f: f, next: s.nextDue(time.Now(), period)}
 	s.mu.Lock()
 	heap.Push(&s.queue, sub)
 	s.mu.Unlock()
@@ -60,7 +68,7 @@
 		return
 	}
 	sub.period = period
-	if next := time.Now().Add(period); next.Before(sub.next) {
+	if next := s.nextDue(time.Now(), period); next.Before(sub.next) {
 		sub.next = next
 		heap.Fix(&s.queue, sub.index)
 		s.wakeUp()
@@ -112,10 +120,7 @@
 	defer s.mu.Unlock()
 	for len(s.queue) > 0 && !s.queue[0].next.After(now) {
 		sub := s.queue[0]
-		sub.next = sub.next.Add(sub.period)
-		if sub.next.Before(now) {
-			sub.next = now.Add(sub.period)
-		}
+		sub.next = s.nextDue(now, sub.period)
 		heap.Fix(&s.queue, 0)
 		s.start(sub, now)
 	}
--- a/core/zytimer/service_test.go
+++ b/core/zytimer/service_test.go
@@ -39,3 +39,31 @@
 		}
 	})
 }
+
+// TestSubscribersShareWakeUps subscribes at different times with the same period. Separate
+// due times would wake an idle process once for each of them.
+func TestSubscribersShareWakeUps(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := zytimer.New()
+		defer s.Stop()
+		times := make(chan time.Time, 1000)
+		begin := time.Now()
+		for range 3 {
+			time.Sleep(37 * time.Millisecond)
+			s.Every(100*time.Millisecond, func(now time.Time) { times <- now })
+		}
+		busy := s.Every(100*time.Millisecond, func(time.Time) {})
+		busy.SetPeriod(10 * time.Millisecond)
+		time.Sleep(50 * time.Millisecond)
+		busy.SetPeriod(100 * time.Millisecond)
+		time.Sleep(time.Second)
+		if len(times) < 30 {
+			t.Errorf("%d calls of three subscribers in more than a second, want 30", len(times))
+		}
+		for range len(times) {
+			if at := (<-times).Sub(begin); at%(100*time.Millisecond) != 0 {
+				t.Errorf("a call came %s after the start, want a multiple of 100 ms", at)
+			}
+		}
+	})
+}
