--- a/core/zybalancer/even.go
+++ b/core/zybalancer/even.go
@@ -57,8 +57,8 @@
 	RoomNearby bool
 }
 
-// candidate is an upstream with its expected load.
-type candidate struct {
+// evenCandidate is an upstream with its expected load.
+type evenCandidate struct {
 	*zinniayoke.Upstream
 	stats        *upstreamStats
 	ejected      bool
@@ -72,18 +72,18 @@
 // first asked for, because most calls stay in the nearest one.
 type tierSet struct {
 	now       time.Time
-	lists     [tierCount][]candidate
+	lists     [tierCount][]evenCandidate
 	estimated [tierCount]bool
 }
 
 // room returns how many more calls the worker is expected to run at once.
-func (c *candidate) room() float64 {
+func (c *evenCandidate) room() float64 {
 	return c.limit - c.occupied
 }
 
 // wait returns how long a call is expected to wait at the worker. Where as many calls as the
 // limit are expected, some calls have to wait and others not.
-func (c *candidate) wait() time.Duration {
+func (c *evenCandidate) wait() time.Duration {
 	const certain = 3
 	excess := c.occupied - c.limit + 1
 	switch {
@@ -112,7 +112,7 @@
 		if len(near) == 0 {
 			continue
 		}
-		var chosen *candidate
+		var chosen *evenCandidate
 		if r.Redirects == 0 {
 			chosen = p.nextByRoom(tiers.at(tier))
 		} else {
@@ -128,7 +128,7 @@
 }
 
 // roomBeside reports whether a candidate other than the chosen one is expected to have room.
-func roomBeside(list []candidate, chosen *candidate) bool {
+func roomBeside(list []evenCandidate, chosen *evenCandidate) bool {
 	for i := range list {
 		if list[i].Node != chosen.Node && list[i].room() >= 1 {
 			return true
@@ -143,10 +143,10 @@
 	list := p.scratch[:0]
 	ejected := 0
 	for i := range all {
-		if !p.usable(now, all[i], r.Exclude) {
+		if !p.usable(now, &all[i], r.Exclude) {
 			continue
 		}
-		c := candidate{Upstream: &all[i], stats: p.nodes[all[i].Node]}
+		c := evenCandidate{Upstream: &all[i], stats: p.nodes[all[i].Node]}
 		if c.stats != nil && now.Before(c.stats.ejectedUntil) {
 			c.ejected = true
 			ejected++
@@ -155,19 +155,19 @@
 	}
 	p.scratch = list
 	if ejected < len(list) && ejected*maxEjectedDivisor <= len(all) {
-		list = slices.DeleteFunc(list, func(c candidate) bool { return c.ejected })
+		list = slices.DeleteFunc(list, func(c evenCandidate) bool { return c.ejected })
 	}
-	refuses := func(c candidate) bool {
+	refuses := func(c evenCandidate) bool {
 		return c.stats != nil && c.stats.threshold > r.Rank && now.Sub(c.stats.repliedAt) < thresholdTTL
 	}
-	if !slices.ContainsFunc(list, func(c candidate) bool { return !refuses(c) }) {
-		refuses = func(candidate) bool { return false }
+	if !slices.ContainsFunc(list, func(c evenCandidate) bool { return !refuses(c) }) {
+		refuses = func(evenCandidate) bool { return false }
 	}
 	tiers := &p.tiers
-	*tiers = tierSet{now: now, lists: [tierCount][]candidate{tiers.lists[0][:0], tiers.lists[1][:0], tiers.lists[2][:0]}}
+	*tiers = tierSet{now: now, lists: [tierCount][]evenCandidate{tiers.lists[0][:0], tiers.lists[1][:0], tiers.lists[2][:0]}}
 	for _, c := range list {
 		if !refuses(c) {
-			tier := p.tierOf(*c.Upstream)
+			tier := p.tierOf(c.Upstream)
 			tiers.lists[tier] = append(tiers.lists[tier], c)
 		}
 	}
@@ -176,7 +176,7 @@
 
 // at returns the candidates of a tier with their expected load. Workers that no report is
 // known of are expected to be used like the others.
-func (t *tierSet) at(tier int) []candidate {
+func (t *tierSet) at(tier int) []evenCandidate {
 	list := t.lists[tier]
 	if t.estimated[tier] {
 		return list
@@ -197,7 +197,7 @@
 }
 
 // expect sets the expected load of the candidate, in a group with that mean use and speed.
-func (c *candidate) expect(now time.Time, use, meanSpeed float64) {
+func (c *evenCandidate) expect(now time.Time, use, meanSpeed float64) {
 	if c.stats != nil && c.stats.estimate.Known() {
 		r := c.stats.estimate.Report()
 		c.limit, c.speed, c.holdTime = float64(r.Limit), r.Speed, r.HoldTime
@@ -223,7 +223,7 @@
 
 // nextByRoom returns the candidates in turn, each as often as its weight warrants. That spreads
 // the calls of one node more evenly than a random draw.
-func (p *Picker) nextByRoom(list []candidate) *candidate {
+func (p *Picker) nextByRoom(list []evenCandidate) *evenCandidate {
 	sum := 0.0
 	for i := range list {
 		sum += list[i].weight()
@@ -250,7 +250,7 @@
 // utilization 0.5 and 5% less at 0.8, and waited no longer. The weight falls steeply but not to
 // zero where little room is expected, so that fuller workers still get fewer calls when all are
 // full.
-func (c *candidate) weight() float64 {
+func (c *evenCandidate) weight() float64 {
 	share := c.room() / c.limit
 	if share < littleRoomShare {
 		share = littleRoomShare * math.Exp(max(share/littleRoomShare-1, -maxExponent))
@@ -260,7 +260,7 @@
 
 // redirectAfter returns the wait above which another worker is a better choice than the chosen
 // one, 0 if there is no other.
-func redirectAfter(tiers *tierSet, tier int, chosen *candidate, tolerance time.Duration) time.Duration {
+func redirectAfter(tiers *tierSet, tier int, chosen *evenCandidate, tolerance time.Duration) time.Duration {
 	var lowest time.Duration
 	found := false
 	for further := tier; further < tierCount; further++ {
@@ -292,7 +292,7 @@
 // lowestCost returns a candidate of the tier with the lowest cost, drawn by weight among those
 // of about that cost. Were it always the one with most room, all nodes would fill it at the
 // same time.
-func (p *Picker) lowestCost(tiers *tierSet, tolerance time.Duration) (int, *candidate) {
+func (p *Picker) lowestCost(tiers *tierSet, tolerance time.Duration) (int, *evenCandidate) {
 	best, found := 0, false
 	var lowest time.Duration
 	for tier := range tierCount {
@@ -309,7 +309,7 @@
 }
 
 // drawByWeight draws at random, by weight, a candidate with at most that expected wait.
-func (p *Picker) drawByWeight(list []candidate, longest time.Duration) *candidate {
+func (p *Picker) drawByWeight(list []evenCandidate, longest time.Duration) *evenCandidate {
 	sum := 0.0
 	for i := range list {
 		if list[i].wait() <= longest {
