core/zyingress: a race in the test of busy workers

The test harness numbers its attempts without a lock, and the test created them in two goroutines. It creates them before; the race detector finds nothing in zyingress, zyegress, zybalancer, zyevenload and zyadmission.

--- a/core/zyingress/even_load_test.go
+++ b/core/zyingress/even_load_test.go
@@ -38,7 +38,8 @@
 			h.announce(zinniayoke.WorkerServing, 3) // Of which 0.94 makes two.
 			h.run("so that the service time is known")
 			for range c.running {
-				go h.run("long")
+				a := h.attempt("long")
+				go h.Run(t.Context(), a)
 			}
 			synctest.Wait()
 			a := h.attempt("x")
