core/zybalancer: overflow before a refusal

A call with a short objective may wait less than it costs to reach another region, so it was refused while that region had room. A wait beyond the call's maximum now counts as a refusal when choices are compared, and after a refusal the next choice is by cost.

Scenarios without a maximum wait are unchanged.

--- a/core/zybalancer/even.go
+++ b/core/zybalancer/even.go
@@ -29,6 +29,8 @@
 	// same failure domain. It is several round trips, because a redirected call costs two
 	// nodes another 0.1 ms of processor time.
 	minRedirectWait = 1 * time.Millisecond
+	// refusalCost is the wait that a call accepts rather than to be refused.
+	refusalCost = 10 * time.Second
 	// maxRedirects is how many nodes may refuse a call as busy. With one, what leaves a full
 	// failure domain met long queues elsewhere, of which reports came seconds late: 1.0 s at
 	// the 99th percentile instead of 0.3 s in the experiment with demand that oscillates.
@@ -43,6 +45,10 @@
 	// Tolerance is the wait that costs the call nothing. To leave the failure domain must
 	// save more.
 	Tolerance time.Duration
+	// MaxWait is the expected wait beyond which nodes refuse the call; 0 means none.
+	MaxWait time.Duration
+	// Refused is true if a node has refused the call for another reason than a busy worker.
+	Refused bool
 	// Redirects is how many nodes have refused the call because their worker is busy.
 	Redirects int
 }
@@ -100,6 +106,15 @@
 	return time.Duration(excess / c.limit * float64(c.holdTime))
 }
 
+// waitWithin returns the expected wait, and more by refusalCost if it exceeds maxWait.
+func (c *candidate) waitWithin(maxWait time.Duration) time.Duration {
+	wait := c.wait()
+	if maxWait > 0 && wait > maxWait {
+		wait += refusalCost
+	}
+	return wait
+}
+
 // PickEven is Pick for the even distribution of load. The first choice is a worker of the
 // nearest failure domain, in turn by expected room and speed. If that one is busy, the next
 // choice is a worker with the lowest cost: the expected wait, the distance, and for leaving the
@@ -113,14 +128,14 @@
 			continue
 		}
 		var chosen *candidate
-		if r.Redirects == 0 {
+		if r.Redirects == 0 && !r.Refused {
 			chosen = p.nextByRoom(tiers.at(tier))
 		} else {
-			tier, chosen = p.lowestCost(tiers, r.Tolerance)
+			tier, chosen = p.lowestCost(tiers, r)
 		}
 		choice := EvenChoice{Upstream: *chosen.Upstream, RoomNearby: roomBeside(tiers.at(0), chosen)}
 		if r.Redirects < maxRedirects {
-			choice.RedirectAfter = redirectAfter(tiers, tier, chosen, r.Tolerance)
+			choice.RedirectAfter = redirectAfter(tiers, tier, chosen, r)
 		}
 		return choice, true
 	}
@@ -260,11 +275,11 @@
 
 // redirectAfter returns the wait above which another worker is a better choice than the chosen
 // one, 0 if there is no other.
-func redirectAfter(tiers *tierSet, tier int, chosen *candidate, tolerance time.Duration) time.Duration {
+func redirectAfter(tiers *tierSet, tier int, chosen *candidate, r EvenRequest) time.Duration {
 	var lowest time.Duration
 	found := false
 	for further := tier; further < tierCount; further++ {
-		base := roundTrip(further) + price(further, tolerance) - price(tier, tolerance)
+		base := roundTrip(further) + price(further, r.Tolerance) - price(tier, r.Tolerance)
 		if found && base >= lowest {
 			break
 		}
@@ -274,17 +289,21 @@
 			if c.Node == chosen.Node {
 				continue
 			}
-			wait := c.wait()
+			wait := c.waitWithin(r.MaxWait)
 			if c.room() < 1 {
-				wait = fullWaitFactor*wait + price(1, tolerance)
+				wait = fullWaitFactor*wait + price(1, r.Tolerance)
 			}
 			if cost := base + wait; !found || cost < lowest {
 				lowest, found = cost, true
 			}
 		}
 	}
-	if !found {
+	switch {
+	case !found:
 		return 0
+	case r.MaxWait > 0 && lowest < refusalCost:
+		// A longer wait would be refused here.
+		lowest = min(lowest, r.MaxWait)
 	}
 	return max(lowest, minRedirectWait)
 }
@@ -292,34 +311,35 @@
 // lowestCost returns a candidate of the tier with the lowest cost, drawn by weight among those
 // of about that cost. Were it always the one with most room, all nodes would fill it at the
 // same time.
-func (p *Picker) lowestCost(tiers *tierSet, tolerance time.Duration) (int, *candidate) {
+func (p *Picker) lowestCost(tiers *tierSet, r EvenRequest) (int, *candidate) {
 	best, found := 0, false
 	var lowest time.Duration
 	for tier := range tierCount {
 		list := tiers.at(tier)
 		for i := range list {
-			cost := list[i].wait() + roundTrip(tier) + price(tier, tolerance)
+			cost := list[i].waitWithin(r.MaxWait) + roundTrip(tier) + price(tier, r.Tolerance)
 			if !found || cost < lowest {
 				best, lowest, found = tier, cost, true
 			}
 		}
 	}
-	longest := lowest - roundTrip(best) - price(best, tolerance) + minRedirectWait
-	return best, p.drawByWeight(tiers.at(best), longest)
+	longest := lowest - roundTrip(best) - price(best, r.Tolerance) + minRedirectWait
+	return best, p.drawByWeight(tiers.at(best), longest, r.MaxWait)
 }
 
-// drawByWeight draws at random, by weight, a candidate with at most that expected wait.
-func (p *Picker) drawByWeight(list []candidate, longest time.Duration) *candidate {
+// drawByWeight draws at random, by weight, a candidate whose waitWithin maxWait is at most the
+// longest.
+func (p *Picker) drawByWeight(list []candidate, longest, maxWait time.Duration) *candidate {
 	sum := 0.0
 	for i := range list {
-		if list[i].wait() <= longest {
+		if list[i].waitWithin(maxWait) <= longest {
 			sum += list[i].weight()
 		}
 	}
 	draw := p.cfg.Random.Float64() * sum
 	chosen := &list[0]
 	for i := range list {
-		if list[i].wait() > longest {
+		if list[i].waitWithin(maxWait) > longest {
 			continue
 		}
 		chosen = &list[i]
--- a/core/zybalancer/even_test.go
+++ b/core/zybalancer/even_test.go
@@ -104,6 +104,40 @@
 	}
 }
 
+// TestOverflowBeforeRefusal has a region full for longer than calls with a short objective may
+// wait. It guards against calls that are refused there, because another region is further away
+// than they may wait, while that region has room.
+func TestOverflowBeforeRefusal(t *testing.T) {
+	r := resolver{upstream("near", "a", "east"), upstream("region", "b", "east"), upstream("far", "c", "west")}
+	const maxWait = 30 * time.Millisecond
+	for _, c := range []struct {
+		occupied  int // of the ten slots of each worker of the region
+		want      zinniayoke.NodeID
+		least     time.Duration
+		most      time.Duration
+		redirects int
+		refused   bool
+	}{
+		{15, "near", maxWait, maxWait, 0, false},
+		{15, "far", 0, time.Hour, 1, false},
+		{15, "far", 0, time.Hour, 0, true},
+		{11, "near", 0, time.Hour, 1, false},
+		{11, "near", 0, time.Hour, 0, true},
+	} {
+		p := newPicker(r, nil)
+		now := time.Unix(0, 0)
+		report(p, now, r, "near", c.occupied, 1)
+		report(p, now, r, "region", c.occupied, 1)
+		report(p, now, r, "far", 0, 1)
+		got, _ := p.PickEven(now, zybalancer.EvenRequest{
+			Service: "s", Tolerance: maxWait, MaxWait: maxWait, Redirects: c.redirects, Refused: c.refused,
+		})
+		if got.Node != c.want || got.RedirectAfter < c.least || got.RedirectAfter > c.most {
+			t.Errorf("%+v: the choice is %s, refused after %s", c, got.Node, got.RedirectAfter)
+		}
+	}
+}
+
 // TestEvenAnyReports guards against reports that make the choice fail, block or go to a worker
 // that takes no calls: of nodes that have just started, whose clock stands still, or whose
 // numbers make no sense.
@@ -126,6 +160,7 @@
 			}})
 			c, ok := p.PickEven(now, zybalancer.EvenRequest{
 				Service: "s", Tolerance: 50 * time.Millisecond, Redirects: rapid.IntRange(0, 3).Draw(t, "redirects"),
+				MaxWait: times.Draw(t, "max wait"), Refused: rapid.Bool().Draw(t, "refused"),
 			})
 			if !ok || c.State == zinniayoke.WorkerDraining || c.RedirectAfter < 0 {
 				t.Fatalf("the choice is %+v, found %t", c, ok)
--- a/core/zyegress/even_load.go
+++ b/core/zyegress/even_load.go
@@ -32,7 +32,8 @@
 		return s.cfg.Picker.Pick(time.Now(), c.Service, c.Rank, exclude)
 	}
 	choice, ok := s.cfg.Picker.PickEven(time.Now(), zybalancer.EvenRequest{
-		Service: c.Service, Rank: c.Rank, Exclude: exclude, Tolerance: tolerance(c), Redirects: f.redirects,
+		Service: c.Service, Rank: c.Rank, Exclude: exclude, Tolerance: tolerance(c), MaxWait: c.MaxWait,
+		Refused: f.undelivered+f.limitedRefusals+f.rejections > 0, Redirects: f.redirects,
 	})
 	f.redirectAfter, f.roomNearby = choice.RedirectAfter, choice.RoomNearby
 	if f.exclusive {
--- a/core/zyexperiment/even_load.go
+++ b/core/zyexperiment/even_load.go
@@ -34,8 +34,10 @@
 	NoFactor bool
 	// LimitByFactor divides the concurrency limit by the slowdown that a worker reports.
 	LimitByFactor bool
-	Duration      time.Duration
-	Seed          uint64
+	// MaxWait is the expected wait beyond which workers' nodes refuse a call; 0 means none.
+	MaxWait  time.Duration
+	Duration time.Duration
+	Seed     uint64
 }
 
 // EvenLoadResult holds the measurements of one simulation.
@@ -379,6 +381,9 @@
 func (s *evenSim) receive(c *evenCall, w *evenWorker, redirectAfter time.Duration) {
 	now := s.clock.now
 	item := zyadmission.Item{ID: c.id, Route: evenRoute, Deadline: now.Add(farCallTimeout), MaxWait: farCallTimeout, Depth: 1}
+	if s.cfg.MaxWait > 0 {
+		item.MaxWait, item.Depth = s.cfg.MaxWait, 0
+	}
 	if redirectAfter > 0 && w.queue.ExpectedWait(now, item) > redirectAfter {
 		s.refuse(c, w)
 		return
@@ -420,7 +425,7 @@
 		now := s.clock.now
 		n.picker.Replied(now, w.upstream.Node, 0, &zinniayoke.Reply{Outcome: zinniayoke.OutcomeNotRun, Reason: zinniayoke.ReasonBusy})
 		s.hear(n, s.indexOf(w.upstream.Node), r, 0)
-		choice, _ := n.picker.PickEven(now, zybalancer.EvenRequest{Service: evenService, Tolerance: evenTolerance, Redirects: c.redirects})
+		choice, _ := n.picker.PickEven(now, zybalancer.EvenRequest{Service: evenService, Tolerance: evenTolerance, MaxWait: s.cfg.MaxWait, Redirects: c.redirects})
 		if s.cfg.Policy == EvenRedirectedOnce {
 			choice.RedirectAfter = 0
 		}
--- a/core/zyexperiment/even_policy.go
+++ b/core/zyexperiment/even_policy.go
@@ -44,7 +44,7 @@
 		u, _ := n.picker.Pick(now, evenService, 0, nil)
 		return s.workers[s.indexOf(u.Node)], 0
 	case EvenExpectedRoom, EvenRedirectedOnce, EvenRedirected:
-		choice, _ := n.picker.PickEven(now, zybalancer.EvenRequest{Service: evenService, Tolerance: evenTolerance})
+		choice, _ := n.picker.PickEven(now, zybalancer.EvenRequest{Service: evenService, Tolerance: evenTolerance, MaxWait: s.cfg.MaxWait})
 		w := s.workers[s.indexOf(choice.Node)]
 		if s.cfg.Policy == EvenExpectedRoom {
 			return w, 0
--- a/core/zyexperiment/even_table.go
+++ b/core/zyexperiment/even_table.go
@@ -47,6 +47,9 @@
 	}
 	add("steady 0.80, no slowdown reported", func(c *EvenLoadConfig) { c.NoFactor = true })
 	add("steady 0.80, limit by slowdown", func(c *EvenLoadConfig) { c.LimitByFactor = true })
+	add("oscillating 0.95, refused beyond 100ms", func(c *EvenLoadConfig) {
+		c.Utilization, c.Oscillation, c.MaxWait = nearlyFull, amplitude, evenTolerance
+	})
 	return list
 }
 
@@ -67,12 +70,12 @@
 	}
 	active.Wait()
 	const percent = 100
-	_, _ = fmt.Fprintln(w, "| scenario | policy | busiest/mean | wait p50 ms | p99 | p99.9 | mean | avoidable | over tolerance | other domain | other region | redirected | time mean | p99 |")
-	_, _ = fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")
+	_, _ = fmt.Fprintln(w, "| scenario | policy | busiest/mean | wait p50 ms | p99 | p99.9 | mean | avoidable | over tolerance | other domain | other region | redirected | refused | time mean | p99 |")
+	_, _ = fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")
 	for i, r := range results {
-		_, _ = fmt.Fprintf(w, "| %s | %s | %.2f | %d | %d | %d | %.1f | %.2f%% | %.2f%% | %.1f%% | %.1f%% | %.1f%% | %.2f | %.2f |\n",
+		_, _ = fmt.Fprintf(w, "| %s | %s | %.2f | %d | %d | %d | %.1f | %.2f%% | %.2f%% | %.1f%% | %.1f%% | %.1f%% | %.1f%% | %.2f | %.2f |\n",
 			scenarios[i/len(policies)].Name, policies[i%len(policies)], r.BusiestToMean,
 			r.WaitP50.Milliseconds(), r.WaitP99.Milliseconds(), r.WaitP999.Milliseconds(), float64(r.MeanWait)/float64(time.Millisecond),
-			percent*r.AvoidableWaits, percent*r.LateCalls, percent*r.OtherDomain, percent*r.OtherRegion, percent*r.Redirected, r.MeanTime, r.P99Time)
+			percent*r.AvoidableWaits, percent*r.LateCalls, percent*r.OtherDomain, percent*r.OtherRegion, percent*r.Redirected, percent*r.Refused, r.MeanTime, r.P99Time)
 	}
 }
