--- a/core/zybalancer/even_bench_test.go
+++ b/core/zybalancer/even_bench_test.go
@@ -10,8 +10,8 @@
 	"zinniayoke/core/zybalancer"
 )
 
-// BenchmarkPick compares the cost of a choice among 40 workers with and without even load.
-func BenchmarkPick(b *testing.B) {
+// BenchmarkPickEven compares the cost of a choice among 40 workers with and without even load.
+func BenchmarkPickEven(b *testing.B) {
 	var r resolver
 	for i := range 40 {
 		r = append(r, upstream(fmt.Sprint("w", i), zinniayoke.Domain(fmt.Sprint("d", i%4)), zinniayoke.Region(fmt.Sprint("r", i%4/2))))
