--- a/core/zyquota/limiter_test.go
+++ b/core/zyquota/limiter_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -63,13 +64,13 @@
 // fakeClient passes requests for tokens to an owner. It loses them while silent is true.
 type fakeClient struct {
 	owner    *zyquota.Limiter
-	silent   bool
-	messages int
+	silent   atomic.Bool
+	messages atomic.Int64
 }
 
 func (c *fakeClient) RequestQuota(ctx context.Context, _ zinniayoke.NodeID, r *zinniayoke.QuotaRequest) (*zinniayoke.QuotaReply, error) {
-	c.messages++
-	if c.silent {
+	c.messages.Add(1)
+	if c.silent.Load() {
 		<-ctx.Done()
 		return nil, context.Cause(ctx)
 	}
@@ -124,10 +125,10 @@
 		if refusal.RetryAfter < 400*time.Millisecond || refusal.RetryAfter > 510*time.Millisecond {
 			t.Errorf("RetryAfter is %s at 2 requests a second, want about 500ms", refusal.RetryAfter)
 		}
-		before := client.messages
+		before := client.messages.Load()
 		time.Sleep(refusal.RetryAfter - 2*time.Millisecond)
-		if err := entry.Take(ctx, l); err == nil || client.messages != before {
-			t.Errorf("before RetryAfter: error %v, %d messages", err, client.messages-before)
+		if err := entry.Take(ctx, l); err == nil || client.messages.Load() != before {
+			t.Errorf("before RetryAfter: error %v, %d messages", err, client.messages.Load()-before)
 		}
 		time.Sleep(2 * time.Millisecond)
 		if err := entry.Take(ctx, l); err != nil {
@@ -144,7 +145,7 @@
 		entry, client, tick := pair(l)
 		defer time.Sleep(2 * time.Second) // Messages in the background end.
 		run(tick, 5*time.Second)
-		client.silent = true
+		client.silent.Store(true)
 		ctx := context.Background()
 		start := time.Now()
 		if err := entry.Take(ctx, l); err == nil || time.Since(start) > 100*time.Millisecond {
@@ -164,7 +165,7 @@
 		if n := granted(10 * time.Second); n < 95 || n > 101 {
 			t.Errorf("%d requests granted in 10 s, want 100", n)
 		}
-		client.silent = false
+		client.silent.Store(false)
 		time.Sleep(time.Second)
 		if err := entry.Take(ctx, l); err != nil {
 			t.Errorf("the owner replies again, but a request got %v", err)
