--- a/core/zyfairshare/load_test.go
+++ b/core/zyfairshare/load_test.go
@@ -1,6 +1,7 @@
 package zyfairshare_test
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math"
@@ -48,6 +49,8 @@
 	partition bool
 	rejects   bool
 	unshared  bool
+	// seed is that of the random numbers; 0 means 9.
+	seed uint64
 }
 
 type event struct {
@@ -213,7 +216,7 @@
 // replay returns the share of its requests for which each customer was served, and that of
 // all requests and of the filings.
 func replay(l load) (share [customers]float64, all, filings float64) {
-	r := &run{load: l, random: rand.New(rand.NewPCG(7, 9)), start: time.Unix(0, 0), ends: make(map[zinniayoke.AttemptID]func(bool))}
+	r := &run{load: l, random: rand.New(rand.NewPCG(7, cmp.Or(l.seed, 9))), start: time.Unix(0, 0), ends: make(map[zinniayoke.AttemptID]func(bool))}
 	r.burst = max(r.burst, 1)
 	for i := range r.entries {
 		r.entries[i] = zybackpressure.NewShedder()
@@ -267,36 +270,52 @@
 	} {
 		t.Run(l.name, func(t *testing.T) {
 			t.Parallel()
-			share, all, filings := replay(l)
-			quiet, unshared := l, l
-			quiet.multiple, unshared.unshared = 1, true
-			usualShare, _, _ := replay(quiet)
-			unsharedShare, _, unsharedFilings := replay(unshared)
-			sorted, mean := others(l, share)
-			_, usually := others(l, usualShare)
-			_, unfair := others(l, unsharedShare)
-			median, tenth := sorted[len(sorted)/2], 0.0
-			for _, s := range sorted[:customers/10] {
-				tenth += s / float64(customers/10)
-			}
-			t.Logf("served: all %.3f, heavy %.3f, others %.3f (usually %.3f, without sharing %.3f), worst tenth %.3f, median %.3f, filings %.3f (without sharing %.3f)",
-				all, share[firstHeavy], mean, usually, unfair, tenth, median, filings, unsharedFilings)
-			bound := usually * (1 - maxLoss*float64(l.heavy))
-			if mean < bound {
-				t.Errorf("the others were served %.3f, want at least %.3f", mean, bound)
-			}
-			if unfair >= bound {
-				t.Errorf("the others were served %.3f without sharing, so that this load shows nothing", unfair)
-			}
-			if least := slices.Min(share[:]); least < minServed*all {
-				t.Errorf("one customer was served %.3f, want at least %.3f", least, minServed*all)
-			}
-			if filings < unsharedFilings-maxLoss*float64(l.heavy) {
-				t.Errorf("%.3f of the filings were served, want as many as the %.3f without sharing but for the heavy customers'", filings, unsharedFilings)
-			}
-			if tenth < minTenth*median {
-				t.Errorf("the worst tenth was served %.3f, want at least %.3f", tenth, minTenth*median)
-			}
+			checkLoad(t, l)
 		})
 	}
 }
+
+// TestLoadsWithOtherRandomNumbers replays the load with retries with other random numbers.
+// TestLoads alone could pass by chance.
+func TestLoadsWithOtherRandomNumbers(t *testing.T) {
+	for seed := uint64(1); seed <= 5; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			checkLoad(t, load{heavy: 1, multiple: 6.5, burst: 1.5, retries: 2, seed: seed})
+		})
+	}
+}
+
+// checkLoad checks what the customers are served under a load.
+func checkLoad(t *testing.T, l load) {
+	share, all, filings := replay(l)
+	quiet, unshared := l, l
+	quiet.multiple, unshared.unshared = 1, true
+	usualShare, _, _ := replay(quiet)
+	unsharedShare, _, unsharedFilings := replay(unshared)
+	sorted, mean := others(l, share)
+	_, usually := others(l, usualShare)
+	_, unfair := others(l, unsharedShare)
+	median, tenth := sorted[len(sorted)/2], 0.0
+	for _, s := range sorted[:customers/10] {
+		tenth += s / float64(customers/10)
+	}
+	t.Logf("served: all %.3f, heavy %.3f, others %.3f (usually %.3f, without sharing %.3f), worst tenth %.3f, median %.3f, filings %.3f (without sharing %.3f)",
+		all, share[firstHeavy], mean, usually, unfair, tenth, median, filings, unsharedFilings)
+	bound := usually * (1 - maxLoss*float64(l.heavy))
+	if mean < bound {
+		t.Errorf("the others were served %.3f, want at least %.3f", mean, bound)
+	}
+	if unfair >= bound {
+		t.Errorf("the others were served %.3f without sharing, so that this load shows nothing", unfair)
+	}
+	if least := slices.Min(share[:]); least < minServed*all {
+		t.Errorf("one customer was served %.3f, want at least %.3f", least, minServed*all)
+	}
+	if filings < unsharedFilings-maxLoss*float64(l.heavy) {
+		t.Errorf("%.3f of the filings were served, want as many as the %.3f without sharing but for the heavy customers'", filings, unsharedFilings)
+	}
+	if tenth < minTenth*median {
+		t.Errorf("the worst tenth was served %.3f, want at least %.3f", tenth, minTenth*median)
+	}
+}
