--- a/core/zybalancer/even.go
+++ b/core/zybalancer/even.go
@@ -197,18 +197,24 @@
 		return list
 	}
 	t.estimated[tier] = true
+	use, speed := meanOf(t.now, list)
+	for i := range list {
+		list[i].expect(t.now, use, speed)
+	}
+	return list
+}
+
+// meanOf returns the mean use and speed of the candidates that a report is known of.
+func meanOf(now time.Time, list []evenCandidate) (use, speed float64) {
 	var mean zyevenload.MeanUse
 	speeds, known := 0.0, 0.0
 	for i := range list {
 		if s := list[i].stats; s != nil && s.estimate.Known() {
-			mean.Add(t.now, &s.estimate)
+			mean.Add(now, &s.estimate)
 			speeds, known = speeds+s.estimate.Report().Speed, known+1
 		}
 	}
-	for i := range list {
-		list[i].expect(t.now, mean.Value(), speeds/max(known, 1))
-	}
-	return list
+	return mean.Value(), speeds / max(known, 1)
 }
 
 // expect sets the expected load of the candidate, in a group with that mean use and speed.
--- a/core/zyegress/even_load.go
+++ b/core/zyegress/even_load.go
@@ -32,7 +32,7 @@
 		return s.cfg.Picker.Pick(time.Now(), c.Service, c.Rank, exclude)
 	}
 	choice, ok := s.cfg.Picker.PickEven(time.Now(), zybalancer.EvenRequest{
-		Service: c.Service, Rank: c.Rank, Exclude: exclude, Tolerance: tolerance(c), MaxWait: c.MaxWait,
+		Service: c.Service, Rank: c.Rank, Exclude: exclude, Tolerance: Tolerance(c), MaxWait: c.MaxWait,
 		Refused: f.undelivered+f.limitedRefusals+f.rejections > 0, Redirects: f.redirects,
 	})
 	f.redirectAfter, f.roomNearby = choice.RedirectAfter, choice.RoomNearby
@@ -46,8 +46,8 @@
 	return choice.Upstream, ok
 }
 
-// tolerance returns the wait that costs the call nothing.
-func tolerance(c *zinniayoke.Call) time.Duration {
+// Tolerance returns the wait that costs the call nothing.
+func Tolerance(c *zinniayoke.Call) time.Duration {
 	switch {
 	case c.MaxWait == 0:
 		return defaultTolerance
--- a/core/zyentry/filter.go
+++ b/core/zyentry/filter.go
@@ -129,7 +129,7 @@
 	c.Body = cs.in.Body
 	c.BodyHash = uint64(zyquarantine.FingerprintOf(c.Service, c.Method, c.Path, c.Query, c.Body))
 	if cs.parent == nil {
-		c.MaxWait = time.Duration(rootMaxWaitShare * float64(cs.route.Objective))
+		c.MaxWait = RootMaxWait(cs.route)
 		c.Version = cs.bundle.Version
 		c.Share = c.Customer
 		share := e.cfg.Shares.Observe(time.Now(), cs.caller.Name)
@@ -137,6 +137,11 @@
 	}
 }
 
+// RootMaxWait returns how long a root call of the route may queue.
+func RootMaxWait(r *zybundle.Route) time.Duration {
+	return time.Duration(rootMaxWaitShare * float64(r.Objective))
+}
+
 // setDeadline sets the earliest of the deadlines of the caller, the route and the
 // parent.
 func (e *Entry) setDeadline(next handler) handler {
--- a/core/zyevenload/estimate.go
+++ b/core/zyevenload/estimate.go
@@ -66,6 +66,11 @@
 	return e.report
 }
 
+// ReportedAt returns when the latest report came in.
+func (e *Estimate) ReportedAt() time.Time {
+	return e.at
+}
+
 // Occupied returns the expected number of calls that run and wait, and the spread of that
 // number. Calls that were reported end within about their hold time, later if many wait. So the older the report,
 // the more the use of the worker is expected to equal the average use of its group, with the
--- a/core/zyrank/rank.go
+++ b/core/zyrank/rank.go
@@ -28,6 +28,13 @@
 	return rank | zinniayoke.Rank(xxhash.Sum64String(string(root))&hashMask)
 }
 
+// RangeOf returns the lowest and the highest rank of root requests of a caller without urgency
+// that stays within its fair share. Requests differ only by the hash of their ids.
+func RangeOf(importance int) (lowest, highest zinniayoke.Rank) {
+	lowest = New(importance, 0, maxShare, "") &^ hashMask
+	return lowest, lowest | hashMask
+}
+
 // WithImportance returns the rank with the importance replaced.
 func WithImportance(importance int, r zinniayoke.Rank) zinniayoke.Rank {
 	return zinniayoke.Rank(importance)<<importanceShift | r&(1<<importanceShift-1)
