cmd/zinniayoke: add the command where

An operator had to combine the state of a node, its bundle and its log by hand to tell where a request would go. GET /debug/where on the admin port answers with zywhere.Answer (400, 404 and 503 with a message that repeats no value, as it may be a key), and the command prints it as a table or as JSON.

--- a/cmd/zinniayoke/main.go
+++ b/cmd/zinniayoke/main.go
@@ -27,7 +27,7 @@
 		Name:  "zinniayoke",
 		Usage: "overload control for service call graphs",
 		Commands: []*cli.Command{
-			nodeCommand(), bundleCommand(), keyCommand(), loadCommand(), demoCommand(), standinCommand(), experimentCommand(), explainCommand(), soakCommand(),
+			nodeCommand(), bundleCommand(), keyCommand(), loadCommand(), demoCommand(), standinCommand(), experimentCommand(), explainCommand(), whereCommand(), soakCommand(),
 		},
 	}
 	if err := app.Run(ctx, os.Args); err != nil {
--- a/io/zynode/node.go
+++ b/io/zynode/node.go
@@ -31,6 +31,7 @@
 	"zinniayoke/core/zyquarantine"
 	"zinniayoke/core/zysettings"
 	"zinniayoke/core/zytimer"
+	"zinniayoke/core/zywhere"
 	"zinniayoke/io/zygossip"
 	"zinniayoke/io/zylogger"
 	"zinniayoke/io/zymetric"
@@ -94,6 +95,7 @@
 	customerLimits *customerLimits
 	entry          *zyentry.Entry
 	picker         *zybalancer.Picker
+	where          *zywhere.Explainer
 	linkBudget     *zybalancer.LinkBudget
 	quarantine     *zyquarantine.Tracker
 	meter          *zymetric.Meter
@@ -222,7 +224,7 @@
 		newHTTPServer(n.cfg.Adapters.CallerHandler(CallerHandlerConfig{Entry: n.entry, Bundle: n.bundle.Current, Leaving: n.leaving.Load})),
 		newHTTPServer(n.cfg.Adapters.UpstreamHandler(n.handleAnnouncement)),
 		newHTTPServer(zyweb.NewAdminHandler(zyweb.AdminConfig{
-			Registry: n.registry, Ready: n.Ready, State: func() any { return n.State() }, SetLevel: n.logger.SetLevel,
+			Registry: n.registry, Ready: n.Ready, State: func() any { return n.State() }, Where: http.HandlerFunc(n.serveWhere), SetLevel: n.logger.SetLevel,
 			ReadyPath: n.cfg.Adapters.ReadyPath,
 		})),
 	}
--- a/io/zynode/request_path.go
+++ b/io/zynode/request_path.go
@@ -27,6 +27,7 @@
 	"zinniayoke/core/zyrank"
 	"zinniayoke/core/zysplit"
 	"zinniayoke/core/zythreshold"
+	"zinniayoke/core/zywhere"
 	"zinniayoke/io/zymetric"
 )
 
@@ -117,6 +118,9 @@
 	})
 	n.keyOwners.executor = n.keyExecutor
 	n.initCustomerLimits()
+	n.where = zywhere.New(zywhere.Config{
+		Node: n.id, Bundle: n.bundle.Current, Picker: n.picker, Limits: n.customerLimits.limiter.State, Thresholds: thresholds, Shedder: shedder,
+	})
 	n.entry = zyentry.New(zyentry.Config{
 		Bundle: n.bundle.Current, Parents: parents, Thresholds: thresholds, Sender: sender, KeyOwners: n.keyOwners.router(),
 		Quarantine: n.quarantine, Shares: zyrank.NewShares(), Meter: n.meter,
--- a/io/zyweb/upstream.go
+++ b/io/zyweb/upstream.go
@@ -70,6 +70,8 @@
 	Ready func() error
 	// State returns the value that /debug/state responds with as JSON.
 	State func() any
+	// Where responds to /debug/where; nil means that there is no such path.
+	Where http.Handler
 	// SetLevel changes the log level.
 	SetLevel func(level string) error
 	// ReadyPath is an additional path for the readiness check of /readyz, or "" for
@@ -96,6 +98,9 @@
 		engine.GET(cfg.ReadyPath, ready)
 	}
 	engine.GET("/debug/state", func(c *gin.Context) { c.IndentedJSON(http.StatusOK, cfg.State()) })
+	if cfg.Where != nil {
+		engine.GET("/debug/where", gin.WrapH(cfg.Where))
+	}
 	engine.PUT("/debug/level/:level", func(c *gin.Context) {
 		if err := cfg.SetLevel(c.Param("level")); err != nil {
 			c.JSON(http.StatusBadRequest, ErrorMessage{Error: err.Error()})
