--- a/core/zybackpressure/preview_test.go
+++ b/core/zybackpressure/preview_test.go
@@ -21,8 +21,11 @@
 		now := time.Unix(0, 0)
 		expected, admitted, calls := 0.0, 0.0, 0.0
 		for i := range 4000 {
-			now = now.Add(3 * time.Millisecond)
+			now = now.Add(10 * time.Millisecond)
 			c := customers[i%3%len(customers)]
+			if i == 0 && c.Name != "" {
+				c = customer("once", 0) // It is forgotten by a later plan.
+			}
 			p := queried.Preview(now, r, c)
 			id := zinniayoke.RequestID(fmt.Sprint(i))
 			a, b := queried.AdmitFor(now, r, c, id, uint64(i)), other.AdmitFor(now, r, c, id, uint64(i))
--- a/core/zybalancer/inspect.go
+++ b/core/zybalancer/inspect.go
@@ -45,7 +45,8 @@
 	// upstreams are.
 	EjectedUntil *time.Time      `json:"ejectedUntil,omitempty"`
 	Threshold    zinniayoke.Rank `json:"threshold"`
-	// Chance is the probability that the next call goes to the upstream.
+	// Chance is the probability that the next call goes to the upstream. With even load it is
+	// that of the assumption that upstreams not considered yet have the mean turn.
 	Chance float64 `json:"chance"`
 }
 
@@ -169,7 +170,16 @@
 	}
 	in.Choice, in.RedirectAfterMs = choice.Node, milliseconds(choice.RedirectAfter)
 	tier := p.tierOf(&choice.Upstream)
-	in.Reason = fmt.Sprintf("its turn by free capacity and speed among %d usable workers of the nearest group (%s)", len(p.tiers.lists[tier]), zinniayoke.Distance(tier))
+	usable, unused := p.tiers.lists[tier], 0
+	for _, c := range usable {
+		if c.stats.usedAt.IsZero() {
+			unused++
+		}
+	}
+	in.Reason = fmt.Sprintf("its turn by free capacity and speed; usable at the nearest distance (%s): %d", zinniayoke.Distance(tier), len(usable))
+	if unused > 0 {
+		in.Reason += fmt.Sprintf(", of which %d have not been considered yet and begin with a random turn", unused)
+	}
 	for i := range in.Upstreams {
 		if in.Upstreams[i].Node == choice.Node {
 			in.Upstreams[i].Chance = 1
