--- a/core/zyegress/sender.go
+++ b/core/zyegress/sender.go
@@ -192,10 +192,7 @@
 	case !reply.Delivered && reply.Outcome == zinniayoke.OutcomeNotRun:
 		f.undelivered++
 	case reply.Outcome == zinniayoke.OutcomeNotRun && reply.Reason == zinniayoke.ReasonShed:
-		f.rejections++
-		if !slices.ContainsFunc(f.rejectedBy, func(u zinniayoke.Upstream) bool { return u.Node == f.to.Node }) {
-			f.rejectedBy = append(f.rejectedBy, f.to)
-		}
+		f.recordRejection()
 	}
 	if reply.WorkerError {
 		f.failed = reply
@@ -204,9 +201,17 @@
 	f.last = reply
 }
 
+// recordRejection records that the worker of the latest attempt has rejected the call.
+func (f *sendState) recordRejection() {
+	f.rejections++
+	if !slices.ContainsFunc(f.rejectedBy, func(u zinniayoke.Upstream) bool { return u.Node == f.to.Node }) {
+		f.rejectedBy = append(f.rejectedBy, f.to)
+	}
+}
+
 // finalReply returns the last reply, or the worker's error if no later attempt got a
-// response. Its outcome is unknown if the call was not run
-// by the last attempt but may have been run by an earlier one.
+// response. Its outcome is unknown if the call was not run by the last attempt but may
+// have been run by an earlier one.
 func (f *sendState) finalReply() *zinniayoke.Reply {
 	if f.failed != nil && f.last.Outcome != zinniayoke.OutcomeDone {
 		return f.failed
