--- a/core/zyexperiment/even_load.go
+++ b/core/zyexperiment/even_load.go
@@ -82,7 +82,8 @@
 	evenSubsetPeriod = 10 * time.Second
 	farCallTimeout   = time.Hour
 	workSpread       = 0.5
-	// longShare of the calls take longFactor times the work of the others, as on D2.
+	// longShare of the calls take longFactor times the work of the others, as where even load
+	// was asked for first.
 	longShare       = 0.03
 	longFactor      = 7
 	percentOfLoad   = 100
