--- a/core/zybackpressure/customers.go
+++ b/core/zybackpressure/customers.go
@@ -95,7 +95,7 @@
 	}
 	excess := s.hasExcess(now, r)
 	if excess && now.Sub(s.customers.plannedAt) >= planPeriod {
-		// Before the call is counted: a customer is judged by its other calls, or each call of
+		// Before the call is counted: a customer is compared by its other calls, or each call of
 		// one that rarely calls would look like many times its rate.
 		s.plan(now)
 	}
--- a/core/zyevenload/speed.go
+++ b/core/zyevenload/speed.go
@@ -10,8 +10,8 @@
 
 const (
 	// slowdownTime is the time constant of the averages. A neighbour's noise of 0.6 s
-	// and 2.5 times then lowers the capacity by a fifth at most, while senders, which hear
-	// from a worker every few seconds, would believe an unsmoothed value for longer than the
+	// and 2.5 times then lowers the capacity by a fifth at most, while senders, which learn
+	// of a worker every few seconds, would believe an unsmoothed value for longer than the
 	// noise lasts.
 	slowdownTime = 3 * time.Second
 	// slowdownTTL is how long a reported slowdown is valid.
--- a/core/zyexperiment/even_load.go
+++ b/core/zyexperiment/even_load.go
@@ -23,7 +23,7 @@
 	Rate  float64
 	// Utilization is the mean share of the capacity that the calls use.
 	Utilization float64
-	// ReportAge is how old the reports are by which nodes choose; 0 means that a node hears
+	// ReportAge is how old the reports are by which nodes choose; 0 means that a node learns
 	// of a worker only in the replies to its own calls.
 	ReportAge time.Duration
 	// Oscillation is the amplitude of the demand of each failure domain, a share of the mean.
@@ -117,7 +117,7 @@
 	index  int
 }
 
-// evenReport is the last report of a worker that a node has heard.
+// evenReport is the last report of a worker that a node has received.
 type evenReport struct {
 	zinniayoke.LoadReport
 	at time.Time
@@ -354,12 +354,12 @@
 		if at < 0 {
 			continue
 		}
-		s.hear(n, i, w.snapshots[at], s.cfg.ReportAge)
+		s.observeReport(n, i, w.snapshots[at], s.cfg.ReportAge)
 	}
 }
 
-// hear has the node take in a report.
-func (s *evenSim) hear(n *evenNode, worker int, r zinniayoke.LoadReport, age time.Duration) {
+// observeReport has the node take in a report.
+func (s *evenSim) observeReport(n *evenNode, worker int, r zinniayoke.LoadReport, age time.Duration) {
 	w := s.workers[worker]
 	n.reports[worker] = evenReport{LoadReport: r, at: s.clock.now.Add(-age)}
 	if s.cfg.Policy.usesPickEven() {
@@ -425,7 +425,7 @@
 	s.clock.after(s.delay(n, w), func() {
 		now := s.clock.now
 		n.picker.Replied(now, w.upstream.Node, 0, &zinniayoke.Reply{Outcome: zinniayoke.OutcomeNotRun, Reason: zinniayoke.ReasonBusy})
-		s.hear(n, s.indexOf(w.upstream.Node), r, 0)
+		s.observeReport(n, s.indexOf(w.upstream.Node), r, 0)
 		choice, _ := n.picker.PickEven(now, zybalancer.EvenRequest{Service: evenService, Tolerance: evenTolerance, MaxWait: s.cfg.MaxWait, Redirects: c.redirects})
 		if s.cfg.Policy == EvenRedirectedOnce {
 			choice.RedirectAfter = 0
@@ -500,7 +500,7 @@
 	})
 	n.times.Observe(evenRoute, hold)
 	if s.cfg.ReportAge == 0 {
-		s.hear(n, s.indexOf(w.upstream.Node), r, 0)
+		s.observeReport(n, s.indexOf(w.upstream.Node), r, 0)
 	}
 }
 
--- a/core/zyexperiment/even_load_test.go
+++ b/core/zyexperiment/even_load_test.go
@@ -8,7 +8,7 @@
 )
 
 // TestEvenLoad has 71 nodes send to 39 workers of different speeds, which neighbours slow down,
-// and hear of a worker only in replies. It guards against workers that are overloaded in turn
+// and learn of a worker only in replies. It guards against workers that are overloaded in turn
 // while others in the same failure domain are idle, and against failure domains that keep
 // what others have room for, or send away what they have room for.
 func TestEvenLoad(t *testing.T) {
--- a/core/zyquota/state.go
+++ b/core/zyquota/state.go
@@ -23,7 +23,7 @@
 // OwnedState describes the token bucket of a customer at its owner.
 type OwnedState struct {
 	Customer zinniayoke.Customer `json:"customer"`
-	Rate     zinniayoke.Rate     `json:"ratePerS"`
+	Rate     zinniayoke.Rate     `json:"rate"`
 	Burst    float64             `json:"burst"`
 	// Tokens is the number of tokens in the bucket; negative if more are reserved.
 	Tokens float64 `json:"tokens"`
@@ -42,7 +42,7 @@
 type LeaseState struct {
 	Customer zinniayoke.Customer `json:"customer"`
 	Owner    zinniayoke.NodeID   `json:"owner"`
-	Rate     zinniayoke.Rate     `json:"ratePerS"`
+	Rate     zinniayoke.Rate     `json:"rate"`
 	Tokens   int                 `json:"tokens"`
 	// Demand is the estimated number of requests per second at this node.
 	Demand float64 `json:"demandPerS"`
--- a/core/zywhere/where.go
+++ b/core/zywhere/where.go
@@ -112,7 +112,7 @@
 	Name     zinniayoke.Customer `json:"name"`
 	Priority int                 `json:"priority"`
 	// Rate is 0 for a customer without a limit.
-	Rate  zinniayoke.Rate `json:"ratePerS"`
+	Rate  zinniayoke.Rate `json:"rate"`
 	Burst float64         `json:"burst"`
 	// Lease is what this node may use; nil if the customer has not sent requests here.
 	Lease *zyquota.LeaseState `json:"lease,omitempty"`
