core/zybalancer: a silent upstream is ejected with even load

Calls that reach their deadline are abandoned, which counts as no failure, and the last report of the silent node shows room. Change: an upstream that has left three attempts unanswered for four hold times, and 250 ms, is ejected. TestSilentUpstreamIsAvoided fails without it (80 calls, want 15 to 40).

--- a/core/zybalancer/even.go
+++ b/core/zybalancer/even.go
@@ -31,6 +31,10 @@
 	minRedirectWait = 1 * time.Millisecond
 	// refusalCost is the wait that a call accepts rather than to be refused.
 	refusalCost = 10 * time.Second
+	// An upstream is silent if it has not replied for silentHoldTimes times as long as a call
+	// occupies a slot, and for minSilence, which is several round trips between regions.
+	silentHoldTimes = 4
+	minSilence      = 250 * time.Millisecond
 	// maxRedirects is how many nodes may refuse a call as busy. With one, what leaves a full
 	// failure domain met long queues elsewhere, of which reports came seconds late: 1.0 s at
 	// the 99th percentile instead of 0.3 s in the experiment with demand that oscillates.
@@ -82,6 +86,19 @@
 	estimated [tierCount]bool
 }
 
+// ejectIfSilent ejects an upstream that has not replied for several times as long as a call
+// takes. Calls that end at their deadline count as no failure, and the last report of a silent
+// node shows room: until its connection was given up after 1 to 1.5 s, calls went on to it.
+func (s *upstreamStats) ejectIfSilent(now time.Time) {
+	if s.unanswered < failuresToEject || !s.estimate.Known() || now.Before(s.ejectedUntil) {
+		return
+	}
+	if now.Sub(s.unansweredSince) > max(silentHoldTimes*s.estimate.Report().HoldTime, minSilence) {
+		s.eject(now)
+		s.unanswered = 0
+	}
+}
+
 // room returns how many more calls the worker is expected to run at once.
 func (c *evenCandidate) room() float64 {
 	return c.limit - c.occupied
@@ -162,6 +179,9 @@
 			continue
 		}
 		c := evenCandidate{Upstream: &all[i], stats: p.nodes[all[i].Node]}
+		if c.stats != nil {
+			c.stats.ejectIfSilent(now)
+		}
 		if c.stats != nil && now.Before(c.stats.ejectedUntil) {
 			c.ejected = true
 			ejected++
--- a/core/zybalancer/even_test.go
+++ b/core/zybalancer/even_test.go
@@ -168,3 +168,50 @@
 		}
 	})
 }
+
+// TestSilentUpstreamIsAvoided has one of two workers stop replying while its last report shows
+// room, as when its host loses power. It guards against calls that go there until they reach
+// their deadlines, against a node that is never tried again, and against leaving out workers
+// whose calls are only long.
+func TestSilentUpstreamIsAvoided(t *testing.T) {
+	r := resolver{upstream("a", "a", "east"), upstream("b", "a", "east"), upstream("c", "a", "east")}
+	const step = 10 * time.Millisecond
+	for _, c := range []struct {
+		name        string
+		replyAfter  time.Duration // of a; 0 if it doesn't reply
+		within      time.Duration
+		least, most int // of the calls sent then, those to a
+	}{
+		{"replies", 100 * time.Millisecond, 3 * time.Second, 80, 120},
+		{"long calls", 350 * time.Millisecond, 3 * time.Second, 80, 120},
+		{"silent", 0, 3 * time.Second, 15, 40},
+	} {
+		p := newPicker(r, nil)
+		now := time.Unix(0, 0)
+		for _, id := range []zinniayoke.NodeID{"a", "b", "c"} {
+			report(p, now, r, id, 2, 1)
+		}
+		due := make(map[time.Time][]zinniayoke.NodeID)
+		sent := 0
+		for range c.within / step {
+			now = now.Add(step)
+			for _, id := range due[now] {
+				p.Replied(now, id, step, &zinniayoke.Reply{Outcome: zinniayoke.OutcomeDone})
+				report(p, now, r, id, 2, 1)
+			}
+			choice, _ := p.PickEven(now, zybalancer.EvenRequest{Service: "s", Tolerance: 100 * time.Millisecond})
+			p.Start(now, choice.Node)
+			after := 100 * time.Millisecond
+			if choice.Node == "a" {
+				sent++
+				after = c.replyAfter
+			}
+			if after > 0 {
+				due[now.Add(after)] = append(due[now.Add(after)], choice.Node)
+			}
+		}
+		if sent < c.least || sent > c.most {
+			t.Errorf("%s: %d calls went to a, want %d to %d", c.name, sent, c.least, c.most)
+		}
+	}
+}
--- a/core/zybalancer/picker.go
+++ b/core/zybalancer/picker.go
@@ -95,6 +95,10 @@
 	repliedAt time.Time
 	load      int
 	usedAt    time.Time
+	// unanswered counts the attempts sent since the last reply, the first of them at
+	// unansweredSince.
+	unanswered      int
+	unansweredSince time.Time
 	// succeededAt is when the latency was last updated.
 	succeededAt time.Time
 	// estimate is the load by reports, for PickEven.
@@ -289,6 +293,10 @@
 	defer p.mu.Unlock()
 	s := p.statsOf(now, id)
 	s.inFlight++
+	if s.unanswered == 0 {
+		s.unansweredSince = now
+	}
+	s.unanswered++
 	s.estimate.Sent()
 }
 
@@ -301,6 +309,7 @@
 	s.threshold = r.Threshold
 	s.load = r.Load
 	s.repliedAt = now
+	s.unanswered = 0
 	switch r.Outcome {
 	case zinniayoke.OutcomeDone:
 		s.failures = 0
@@ -341,6 +350,10 @@
 	if s.failures < failuresToEject {
 		return
 	}
+	s.eject(now)
+}
+
+func (s *upstreamStats) eject(now time.Time) {
 	s.failures = 0
 	s.ejectionTime = min(max(s.ejectionTime*2, minEjectionTime), maxEjectionTime)
 	s.ejectedUntil = now.Add(s.ejectionTime)
