--- a/review/stand/deploy.go
+++ b/review/stand/deploy.go
@@ -1,12 +1,14 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -242,6 +244,8 @@
 	body      string
 	err       error
 	sent, got time.Time
+	// kept is true if the request came on a connection that had served another before.
+	kept bool
 }
 
 var clientTransport = &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}
@@ -252,7 +256,8 @@
 	a := answer{sent: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), r.deadline)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, r.method, "http://"+h.outbound+r.path, strings.NewReader(string(r.body)))
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { a.kept = info.Reused }})
+	req, err := http.NewRequestWithContext(ctx, r.method, "http://"+h.outbound+r.path, bytes.NewReader(r.body))
 	if err != nil {
 		a.err = err
 		return a
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -28,6 +28,8 @@
 	"freeze":  frozenPeer,
 	"term":    cutBooking,
 	"reuse":   reusedAddress,
+	"memory":  heldBodies,
+	"poison":  crashingRequest,
 }
 
 func run() (verdict, error) {
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -40,6 +40,7 @@
 	seq      atomic.Int64
 	leaving  atomic.Bool
 	silent   atomic.Bool // sends no more heartbeats
+	crashed  atomic.Bool
 	running  atomic.Int64
 	listener net.Listener
 	done     chan struct{}
