--- a/review/stand/deploy.go
+++ b/review/stand/deploy.go
@@ -132,8 +132,18 @@
 	return before + after
 }
 
-// run starts the process of the node with the command of the deploy file.
+// run starts the process of the node with the command of the deploy file. The settings say
+// bootstrap at the first start only.
 func (h *host) run(root string) error {
+	if h.gone != nil {
+		text, err := os.ReadFile(h.settings)
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(h.settings, []byte(strings.Replace(string(text), "bootstrap = true\n", "", 1)), 0o600); err != nil {
+			return err
+		}
+	}
 	log, err := os.OpenFile(h.log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -30,6 +30,7 @@
 	"reuse":   reusedAddress,
 	"memory":  heldBodies,
 	"poison":  crashingRequest,
+	"silent":  silentStore,
 }
 
 func run() (verdict, error) {
--- a/review/stand/restart.go
+++ b/review/stand/restart.go
@@ -17,7 +17,7 @@
 	// lateness is by how much the last heartbeats before the DELETE are late.
 	lateness        = 4 * time.Second
 	heartbeatPeriod = 1500 * time.Millisecond // heartbeatMs
-	orderTime       = 210 * time.Millisecond
+	orderTime       = 600 * time.Millisecond
 )
 
 // leftWorker lets a worker leave with a DELETE, which its node acknowledges, and kills the
@@ -46,16 +46,19 @@
 	var clients sync.WaitGroup
 	var mu sync.Mutex
 	sent, statuses := map[string]answer{}, map[int]int{}
-	for range 18 {
+	for range 30 {
 		clients.Go(func() {
 			for {
 				i := int(n.Add(1))
 				r := request{id: fmt.Sprintf("r-%05d", i), method: http.MethodGet, host: shop, path: "/look/" + itoa(i), deadline: 5 * time.Second}
-				if i%3 == 0 {
+				if i%2 == 0 {
 					r.method, r.path, r.body = http.MethodPost, "/book/"+itoa(i), []byte("one bedplate")
 				}
 				// The clients are on the machines that nothing happens to.
-				h := hosts[1+i%3]
+				h := hosts[2]
+				if i%5 == 0 {
+					h = hosts[3]
+				}
 				a := h.send(r)
 				d.record.printf("client at %s sent %s %s %s at %.3f: status %d, signature %q", h.name, r.method, r.path, r.id, d.record.at(a.sent), a.status, a.signature)
 				mu.Lock()
