--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -25,12 +25,12 @@
 var cases = map[string]func(d *deployment, trouble bool) (verdict, error){
 	"stray":   strayAnswer,
 	"restart": leftWorker,
-	"freeze":  frozenPeer,
 	"term":    cutBooking,
 	"reuse":   reusedAddress,
 	"memory":  heldBodies,
 	"poison":  crashingRequest,
 	"silent":  silentStore,
+	"popular": popularRequest,
 }
 
 func run() (verdict, error) {
