--- a/review/stand/silent.go
+++ b/review/stand/silent.go
@@ -77,6 +77,7 @@
 				return
 			}
 			if err != nil {
+				_ = to.(*net.TCPConn).SetLinger(0) // A reset stays a reset.
 				_ = to.Close()
 				return
 			}
