--- a/review/stand/deploy.go
+++ b/review/stand/deploy.go
@@ -56,12 +56,15 @@
 // givenAddresses holds the addresses that freeAddress has returned.
 var givenAddresses sync.Map
 
+// loopback is an address of the loopback network that hardly any other run has.
+var loopback = fmt.Sprintf("127.%d.%d.1", 1+rand.IntN(250), rand.IntN(250))
+
 // freeAddress returns a loopback address with a port that is free for TCP and UDP. It is below
 // the ports that the system gives to outgoing connections.
 func freeAddress() string {
 	const lowest, count = 20000, 10000
 	for {
-		address := "127.0.0.1:" + itoa(lowest+rand.IntN(count))
+		address := loopback + ":" + itoa(lowest+rand.IntN(count))
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
--- a/review/stand/popular.go
+++ b/review/stand/popular.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"syscall"
@@ -39,7 +40,7 @@
 	var mu sync.Mutex
 	var answers []answer
 	var clients sync.WaitGroup
-	for c := range 48 {
+	for c := range 96 {
 		clients.Go(func() {
 			for i := 0; ; i++ {
 				select {
@@ -57,9 +58,11 @@
 				mu.Lock()
 				answers = append(answers, a)
 				mu.Unlock()
+				pause := rand.N(40 * time.Millisecond)
 				if a.status != http.StatusOK {
-					time.Sleep(300 * time.Millisecond)
+					pause += 300 * time.Millisecond
 				}
+				time.Sleep(pause)
 			}
 		})
 	}
@@ -85,8 +88,8 @@
 	time.Sleep(crashAfter)
 	if trouble {
 		w := hosts[0].worker
+		d.record.printf("worker %s crashes while it runs %d requests", w.id, w.running.Load())
 		w.exit()
-		d.record.printf("worker %s crashes", w.id)
 		time.AfterFunc(crashFor, func() {
 			next := &worker{id: w.id + "-again", service: w.service, address: w.address, zone: w.zone, slots: w.slots, healthPath: w.healthPath, control: w.control, work: w.work}
 			if next.start() == nil {
--- a/review/stand/term.go
+++ b/review/stand/term.go
@@ -57,8 +57,10 @@
 	var n atomic.Int64
 	answers := map[string]answer{}
 	stop := make(chan struct{})
-	for range 24 {
+	const count = 24
+	for i := range count {
 		clients.Go(func() {
+			time.Sleep(time.Duration(i) * bookingTime / count) // They send at any time.
 			for {
 				r := request{id: fmt.Sprintf("b-%04d", n.Add(1)), method: http.MethodPost, host: shop, path: "/book/1", body: []byte("a regrind"), deadline: longTimeout}
 				a := node.send(r)
@@ -88,14 +90,18 @@
 	time.Sleep(time.Second)
 	close(stop)
 	clients.Wait()
-	ran := map[string]bool{}
+	ran, whole := map[string]bool{}, map[string]bool{}
 	for _, h := range hosts[1:] {
 		for _, a := range h.worker.received() {
 			ran[a.id] = true
 			d.record.printf("worker %s began to run %s at %.3f", h.worker.id, a.id, d.record.at(a.at))
+			if end, ok := h.worker.endOf(a.id); ok {
+				whole[a.id] = true
+				d.record.printf("worker %s had run %s to a good end at %.3f", h.worker.id, a.id, d.record.at(end))
+			}
 		}
 	}
-	lost, cut, counts := 0, 0, map[int]int{}
+	lost, lostWhole, cut, counts := 0, 0, 0, map[int]int{}
 	for id, a := range answers {
 		counts[a.status]++
 		if a.status != 0 || !ran[id] || a.got.Sub(a.sent) >= longTimeout {
@@ -104,10 +110,13 @@
 		cut++
 		if late := a.sent.Sub(stopped); late > excused {
 			lost++
+			if whole[id] {
+				lostWhole++
+			}
 			d.record.printf("LOST: %s was sent %.3f s after the SIGTERM and ran; its connection ended without an answer %.3f s after the SIGTERM: %v", id, late.Seconds(), a.got.Sub(stopped).Seconds(), a.err)
 		}
 	}
-	text := fmt.Sprintf("%d bookings that ran were cut, %d of them sent later than 3 s after the SIGTERM; by status %v", cut, lost, counts)
+	text := fmt.Sprintf("%d bookings that ran were cut, %d of them sent later than 3 s after the SIGTERM (%d of these were run to a good end); by status %v", cut, lost, lostWhole, counts)
 	d.record.printf("%s", text)
 	return verdict{lost > 0, text}, nil
 }
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -47,7 +47,9 @@
 
 	mu       sync.Mutex
 	arrivals []arrival
-	conns    map[net.Conn]bool
+	// ended is when the answer to a request was written.
+	ended map[string]time.Time
+	conns map[net.Conn]bool
 }
 
 // workerConn is a connection of a worker.
@@ -68,7 +70,7 @@
 		return err
 	}
 	w.listener, w.address, w.born = l, l.Addr().String(), time.Now().UnixMilli()
-	w.done, w.conns = make(chan struct{}), make(map[net.Conn]bool)
+	w.done, w.conns, w.ended = make(chan struct{}), make(map[net.Conn]bool), make(map[string]time.Time)
 	go func() {
 		for {
 			conn, err := l.Accept()
@@ -177,6 +179,9 @@
 	if _, err := conn.Write(out); err != nil {
 		return false
 	}
+	w.mu.Lock()
+	w.ended[id] = time.Now()
+	w.mu.Unlock()
 	if w.answered != nil {
 		w.answered(conn, id)
 	}
@@ -190,6 +195,14 @@
 	return append([]arrival(nil), w.arrivals...)
 }
 
+// endOf returns when the worker had written its answer to a request.
+func (w *worker) endOf(id string) (time.Time, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	at, ok := w.ended[id]
+	return at, ok
+}
+
 var platformClient = &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 
 // heartbeat returns the next heartbeat as a request.
