--- a/review/stand/restart.go
+++ b/review/stand/restart.go
@@ -26,7 +26,7 @@
 func leftWorker(d *deployment, trouble bool) (verdict, error) {
 	const healthPath = "/health"
 	d.store.put("keyed.op", "config", config(7, healthPath))
-	hosts, err := d.hostsOf(healthPath, 48, "stock", "stock", "stock", "sheets")
+	hosts, err := d.hostsOf(healthPath, 48, "stock", "stock", "stock", "sheets", "sheets")
 	if err != nil {
 		return verdict{}, err
 	}
--- a/review/stand/stray.go
+++ b/review/stand/stray.go
@@ -40,6 +40,8 @@
 	strayClients  = 8
 	// strayPart is the part of the faulty worker's answers that it spoils: garble, x = 0.02.
 	strayPart = 50
+	// strayFor is for_s of garble.
+	strayFor = 5 * time.Second
 )
 
 // strayAnswer lets one of two workers send bytes that belong to no request behind some of its
@@ -50,11 +52,11 @@
 	if err != nil {
 		return verdict{}, err
 	}
-	var answers, strays atomic.Int64
+	var answers, strays, until atomic.Int64 // until is in Unix milliseconds.
 	faulty := hosts[0].worker
 	if trouble {
 		faulty.answered = func(conn *workerConn, id string) {
-			if answers.Add(1)%strayPart == 0 {
+			if time.Now().UnixMilli() < until.Load() && answers.Add(1)%strayPart == 0 {
 				conn.stray = fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nX-Zinniayoke-Instance-Id: %s\r\nX-Zinniayoke-Server-Load: 1,0,48\r\nContent-Length: 0\r\n\r\n", faulty.id)
 				d.record.printf("worker %s answered %s; the answer to a health check follows it late", faulty.id, id)
 			}
@@ -72,6 +74,7 @@
 	if err := d.start(shop, "/look/x", "/sheet/x"); err != nil {
 		return verdict{}, err
 	}
+	until.Store(time.Now().Add(strayFor).UnixMilli())
 	var mu sync.Mutex
 	broken, counts := []string{}, map[int]int{}
 	var clients sync.WaitGroup
