io/zynode, core/zyentry: a stopping node takes no call that may outlast it

Callers saw bookings without an answer: a node that got SIGTERM took calls as long as its port was open, at most until 3.8 s of a grace of 6 s, and closed all connections at 5.1 s.

Cause: nothing compared the time that is left with the time that a call may take. Waiting calls were cut as well, without the answer that they did not run.

After the notice, a root call is refused with 503 unless its deadline is before the end of the node. A call of the worker beside the node gets the time that is left, and the port stays open as long as that worker runs calls. This works for any length of a call, since it goes by the deadline.

--- a/core/zyegress/retry.go
+++ b/core/zyegress/retry.go
@@ -10,7 +10,7 @@
 
 // mayRetry reports whether another attempt is safe, useful and within the budgets.
 func (s *Sender) mayRetry(ctx context.Context, f *sendState, reply *zinniayoke.Reply) bool {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || s.withdrawn.Err() != nil {
 		return false
 	}
 	if reply.Outcome == zinniayoke.OutcomeDone {
--- a/core/zyegress/sender.go
+++ b/core/zyegress/sender.go
@@ -81,6 +81,9 @@
 	cfg Config
 	// routeTimes is for how long calls usually occupy a slot, for even load.
 	routeTimes zyevenload.RouteTimes
+	// withdrawn is done once Withdraw was called.
+	withdrawn context.Context
+	withdraw  context.CancelFunc
 }
 
 // New returns a Sender.
@@ -94,7 +97,15 @@
 	if cfg.Recorder == nil {
 		cfg.Recorder = zinniayoke.NopEventRecorder{}
 	}
-	return &Sender{cfg: cfg}
+	s := &Sender{cfg: cfg}
+	s.withdrawn, s.withdraw = context.WithCancel(context.Background())
+	return s
+}
+
+// Withdraw ends the calls that no worker runs: those that wait at the node of a worker are
+// refused, and none is retried from now on. The node is about to stop.
+func (s *Sender) Withdraw() {
+	s.withdraw()
 }
 
 // newIDGenerator returns a function that generates attempt ids from a random
@@ -331,7 +342,7 @@
 	to, start := f.to, time.Now()
 	s.cfg.Meter.CountSent(a.Service)
 	s.cfg.Picker.Start(start, to.Node)
-	reply, err := s.cfg.Peers.Run(ctx, to, a)
+	reply, err := s.run(ctx, to, a)
 	if err == nil {
 		err = zyresponse.Check(reply, a.Request, a.ID)
 	}
@@ -359,6 +370,13 @@
 	return s.queryAttempt(ctx, to, a)
 }
 
+// run sends the attempt and waits for its reply.
+func (s *Sender) run(ctx context.Context, to zinniayoke.Upstream, a *zinniayoke.Attempt) (*zinniayoke.Reply, error) {
+	stop := context.AfterFunc(s.withdrawn, func() { s.cfg.Peers.Withdraw(to, a.ID) })
+	defer stop()
+	return s.cfg.Peers.Run(ctx, to, a)
+}
+
 func contextReason(ctx context.Context) zinniayoke.Reason {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return zinniayoke.ReasonDeadline
--- a/core/zyegress/sender_test.go
+++ b/core/zyegress/sender_test.go
@@ -88,6 +88,8 @@
 
 func (p *fakePeers) Cancel(zinniayoke.Upstream, zinniayoke.AttemptID) {}
 
+func (p *fakePeers) Withdraw(zinniayoke.Upstream, zinniayoke.AttemptID) {}
+
 // upstreams is a service of some workers.
 type upstreams int
 
--- a/core/zyentry/customer_test.go
+++ b/core/zyentry/customer_test.go
@@ -52,6 +52,8 @@
 
 func (n *fakeNode) Cancel(zinniayoke.Upstream, zinniayoke.AttemptID) {}
 
+func (n *fakeNode) Withdraw(zinniayoke.Upstream, zinniayoke.AttemptID) {}
+
 func (n *fakeNode) Upstreams(s zinniayoke.Service) []zinniayoke.Upstream {
 	return []zinniayoke.Upstream{{Node: "n", Service: s, State: zinniayoke.WorkerServing, Slots: 10}}
 }
--- a/core/zyentry/entry.go
+++ b/core/zyentry/entry.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"zinniayoke"
@@ -103,6 +104,11 @@
 	cfg    Config
 	limits callerLimits
 	handle zinniayoke.Handler[*callState, *zinniayoke.Reply]
+	// shutdown is nil unless the node is stopping.
+	shutdown atomic.Pointer[Shutdown]
+	// abandoned is done once Abandon was called.
+	abandoned context.Context
+	abandon   context.CancelFunc
 }
 
 // callState is the state of a call as it passes through the filters.
@@ -125,6 +131,8 @@
 	threshold zinniayoke.Rank
 	// granted is the attempt budget that the call was given.
 	granted zinniayoke.Tokens
+	// refusedByShutdown is true if the call was refused because it might outlast the node.
+	refusedByShutdown bool
 }
 
 // New returns an Entry.
@@ -136,8 +144,9 @@
 		cfg.Recorder = zinniayoke.NopEventRecorder{}
 	}
 	e := &Entry{cfg: cfg}
+	e.abandoned, e.abandon = context.WithCancel(context.Background())
 	e.handle = zinniayoke.Chain(e.send,
-		e.identify, e.findRoute, e.setDeadline, e.limitCaller, e.limitCustomer, e.setKey, e.refuseQuarantined, e.shed, e.allocateBudget)
+		e.identify, e.findRoute, e.setDeadline, e.refuseOutlasting, e.limitCaller, e.limitCustomer, e.setKey, e.refuseQuarantined, e.shed, e.allocateBudget)
 	return e
 }
 
@@ -145,6 +154,10 @@
 func (e *Entry) Handle(ctx context.Context, in *Inbound) *Result {
 	start := time.Now()
 	cs := &callState{in: in, bundle: e.cfg.Bundle(), call: &zinniayoke.Call{Service: in.Service}}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(e.abandoned, cancel)
+	defer stop()
 	reply, err := e.handle(ctx, cs)
 	if err != nil {
 		reply = e.replyOf(ctx, cs, err)
@@ -155,7 +168,8 @@
 		changed.Outcome = zinniayoke.OutcomeUnknown
 		reply = &changed
 	}
-	if reply.Outcome == zinniayoke.OutcomeNotRun && e.cfg.Shedder != nil && cs.route != nil && !cs.fromWorker && !isCustomerRefusal(reply.Reason) {
+	if reply.Outcome == zinniayoke.OutcomeNotRun && e.cfg.Shedder != nil && cs.route != nil && !cs.fromWorker && !isCustomerRefusal(reply.Reason) &&
+		!cs.refusedByShutdown {
 		changed := *reply
 		changed.RetryAfter = retryAfter(cs)
 		reply = &changed
--- a/core/zyentry/share_test.go
+++ b/core/zyentry/share_test.go
@@ -46,6 +46,8 @@
 
 func (h *oneHost) Cancel(zinniayoke.Upstream, zinniayoke.AttemptID) {}
 
+func (h *oneHost) Withdraw(zinniayoke.Upstream, zinniayoke.AttemptID) {}
+
 func (h *oneHost) Upstreams(s zinniayoke.Service) []zinniayoke.Upstream {
 	return []zinniayoke.Upstream{{Node: "n", Service: s, State: zinniayoke.WorkerServing, Slots: 10}}
 }
--- /dev/null
+++ b/core/zyentry/shutdown_test.go
@@ -0,0 +1,63 @@
+package zyentry_test
+
+import (
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"zinniayoke"
+	"zinniayoke/core/zyattempt"
+	"zinniayoke/core/zyentry"
+	"zinniayoke/core/zyparent"
+)
+
+// TestStoppingNodeTakesCallsItCannotFinish guards against calls that a stopping node passes on
+// although it may have ended when the answer comes. The route allows a second.
+func TestStoppingNodeTakesCallsItCannotFinish(t *testing.T) {
+	const acceptAll, end = time.Second, 3 * time.Second
+	for _, c := range []struct {
+		name  string
+		after time.Duration
+		child bool
+		// wait is the time that the caller allows; 0 stands for that of the route.
+		wait    time.Duration
+		outcome zinniayoke.Outcome
+		// timeout is what the attempt gets.
+		timeout time.Duration
+	}{
+		{"during the notice", 900 * time.Millisecond, false, 0, zinniayoke.OutcomeDone, time.Second},
+		{"enough time left", 1900 * time.Millisecond, false, 0, zinniayoke.OutcomeDone, time.Second},
+		{"too little time left", 2000 * time.Millisecond, false, 0, zinniayoke.OutcomeNotRun, 0},
+		{"a caller that waits for less", 2000 * time.Millisecond, false, 500 * time.Millisecond, zinniayoke.OutcomeDone, 500 * time.Millisecond},
+		{"a call of a worker", 2500 * time.Millisecond, true, 0, zinniayoke.OutcomeDone, 500 * time.Millisecond},
+		{"a call of a worker after the end", 3000 * time.Millisecond, true, 0, zinniayoke.OutcomeNotRun, 0},
+		{"after the end", 3100 * time.Millisecond, false, time.Millisecond, zinniayoke.OutcomeNotRun, 0},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			n, parents := &fakeNode{}, &zyparent.Table{}
+			e := newEntry(n, customerBundle(t), parents)
+			handle := ""
+			if c.child {
+				handle = parents.Add(&zyparent.Parent{Deadline: time.Now().Add(time.Minute), Budget: zyattempt.NewBudget(5, 5)})
+			}
+			now := time.Now()
+			e.BeginShutdown(zyentry.Shutdown{AcceptAll: now.Add(acceptAll), End: now.Add(end)})
+			time.Sleep(c.after)
+			r, _ := http.NewRequestWithContext(t.Context(), http.MethodGet, "/public/", http.NoBody)
+			reply := e.Handle(t.Context(), &zyentry.Inbound{Host: "h", HTTP: r, Context: handle, Timeout: c.wait}).Reply
+			if reply.Outcome != c.outcome {
+				t.Fatalf("%s: the reply is %+v, want the outcome %s", c.name, reply, c.outcome)
+			}
+			if reply.Outcome == zinniayoke.OutcomeNotRun {
+				if len(n.attempts) != 0 || reply.RetryAfter <= 0 {
+					t.Errorf("%s: refused with Retry-After %s after %d attempts", c.name, reply.RetryAfter, len(n.attempts))
+				}
+				return
+			}
+			if got := n.attempts[0].Timeout; got != c.timeout {
+				t.Errorf("%s: the attempt gets %s, want %s", c.name, got, c.timeout)
+			}
+		})
+	}
+}
--- a/core/zyingress/worker.go
+++ b/core/zyingress/worker.go
@@ -322,6 +322,16 @@
 	}
 }
 
+// Withdraw refuses an attempt that still waits, because its sender cannot wait for the answer.
+func (r *Receiver) Withdraw(id zinniayoke.AttemptID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if c, ok := r.calls[id]; ok && !c.running && r.queue.Remove(id) {
+		c.admission <- zinniayoke.ReasonCancelled
+		r.removeCall(c)
+	}
+}
+
 // StopAccepting refuses new and waiting attempts from now on.
 func (r *Receiver) StopAccepting() {
 	r.mu.Lock()
--- a/core/zykeyowner/executor_test.go
+++ b/core/zykeyowner/executor_test.go
@@ -88,6 +88,8 @@
 
 func (n network) Cancel(zinniayoke.Upstream, zinniayoke.AttemptID) {}
 
+func (n network) Withdraw(zinniayoke.Upstream, zinniayoke.AttemptID) {}
+
 // keyStates implements zykeyowner.KeyStateClient on a system.
 type keyStates struct{ *system }
 
--- a/io/zynode/node.go
+++ b/io/zynode/node.go
@@ -22,6 +22,7 @@
 	"zinniayoke/core/zyagreement"
 	"zinniayoke/core/zyattempt"
 	"zinniayoke/core/zybalancer"
+	"zinniayoke/core/zyegress"
 	"zinniayoke/core/zyentry"
 	"zinniayoke/core/zyfence"
 	"zinniayoke/core/zyidempotency"
@@ -93,6 +94,7 @@
 	keyExecutor    *zykeyowner.Executor
 	keyOwners      *keyOwnerClient
 	customerLimits *customerLimits
+	sender         *zyegress.Sender
 	entry          *zyentry.Entry
 	picker         *zybalancer.Picker
 	where          *zywhere.Explainer
--- a/io/zynode/peer_service.go
+++ b/io/zynode/peer_service.go
@@ -21,6 +21,11 @@
 	p.node.receiver.Cancel(id)
 }
 
+// Withdraw refuses an attempt that still waits for the worker.
+func (p *peerService) Withdraw(id zinniayoke.AttemptID) {
+	p.node.receiver.Withdraw(id)
+}
+
 // RunAsOwner runs a request whose key this node owns.
 func (p *peerService) RunAsOwner(ctx context.Context, c *zinniayoke.Call) *zinniayoke.Reply {
 	return p.node.keyOwners.run(ctx, c)
@@ -129,3 +134,12 @@
 	}
 	l.remote.Cancel(to, id)
 }
+
+// Withdraw tells a node to refuse an attempt that still waits for its worker.
+func (l *loopbackClient) Withdraw(to zinniayoke.Upstream, id zinniayoke.AttemptID) {
+	if to.Node == l.self {
+		l.receiver.Withdraw(id)
+		return
+	}
+	l.remote.Withdraw(to, id)
+}
--- a/io/zynode/request_path.go
+++ b/io/zynode/request_path.go
@@ -102,7 +102,7 @@
 		AnnouncementTTL: n.cfg.Settings.Worker.Heartbeat * maxMissedHeartbeats, FixedLimit: n.hasBundleSource(),
 		Recorder: n.recorder, Graph: graph, Callers: callers, RetryBudgets: n.retryBudgets, LoadMeter: n.meter,
 	})
-	sender := zyegress.New(zyegress.Config{
+	n.sender = zyegress.New(zyegress.Config{
 		Peers: &loopbackClient{self: n.id, receiver: n.receiver, remote: n.client}, Picker: n.picker, Resolver: n.view, Thresholds: thresholds,
 		RetryBudgets: zyattempt.NewCallerRetryBudgets(), Quarantine: n.quarantine, Meter: n.meter, Bundle: n.bundle.Current,
 		Locality: n.cfg.Settings.Locality, LinkBudget: n.linkBudget, WorkersLimitRetries: n.retryBudgets != nil, OnReply: onReply, LoadMeter: n.meter, Notices: zynotice.NewMemory(), Recorder: n.recorder,
@@ -112,7 +112,7 @@
 		promiseHandler: zykeyowner.PromiseHandler{Grants: n.grants, OwnedKeys: n.keyOwner},
 	}
 	n.keyExecutor = zykeyowner.New(zykeyowner.Config{
-		Node: n.id, Domain: n.cfg.Settings.Locality.Domain, OwnedKeys: n.keyOwner, Sender: sender,
+		Node: n.id, Domain: n.cfg.Settings.Locality.Domain, OwnedKeys: n.keyOwner, Sender: n.sender,
 		Bundle: n.bundle.Current, Peers: n.keyOwners, OldHome: n.keyOwners, Membership: n.view,
 	})
 	n.keyOwners.executor = n.keyExecutor
@@ -121,7 +121,7 @@
 		Node: n.id, Bundle: n.bundle.Current, Picker: n.picker, Limits: n.customerLimits.limiter.State, Thresholds: thresholds, Shedder: shedder,
 	})
 	n.entry = zyentry.New(zyentry.Config{
-		Bundle: n.bundle.Current, Parents: parents, Thresholds: thresholds, Sender: sender, KeyOwners: n.keyOwners.router(),
+		Bundle: n.bundle.Current, Parents: parents, Thresholds: thresholds, Sender: n.sender, KeyOwners: n.keyOwners.router(),
 		Quarantine: n.quarantine, Shares: zyrank.NewShares(), Meter: n.meter,
 		Recorder: n.recorder, Graph: graph, Shedder: shedder, CustomerLimits: n.customerLimits.limiter,
 		Splits: zysplit.New(rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), splitSeed))),
--- a/io/zynode/stop.go
+++ b/io/zynode/stop.go
@@ -5,7 +5,9 @@
 	"errors"
 	"time"
 
+	"zinniayoke/core/zyentry"
 	"zinniayoke/core/zyidempotency"
+	"zinniayoke/core/zysettings"
 	"zinniayoke/io/zypeer"
 )
 
@@ -13,16 +15,22 @@
 // completes the calls in flight and hands its key records over to other nodes.
 func (n *Node) Stop(ctx context.Context) error {
 	n.log.Info("The node is stopping.")
-	ctx, cancel := context.WithTimeout(ctx, n.settings.Load().Shutdown.Grace*gracePercent/percent)
+	schedule := newStopSchedule(time.Now(), n.settings.Load().Shutdown)
+	ctx, cancel := context.WithDeadline(ctx, schedule.close)
 	defer cancel()
 	for _, sub := range n.subscriptions {
 		sub.Cancel()
 	}
+	n.entry.BeginShutdown(zyentry.Shutdown{AcceptAll: schedule.notice, End: schedule.abandon})
+	withdraw := time.AfterFunc(time.Until(schedule.withdraw), n.sender.Withdraw)
+	defer withdraw.Stop()
+	abandon := time.AfterFunc(time.Until(schedule.abandon), n.entry.Abandon)
+	defer abandon.Stop()
 	n.leaving.Store(true)
 	n.updateSelf()
 	n.receiver.StopAccepting()
-	sleep(ctx, max(minDrainDelay, n.settings.Load().Shutdown.DrainDelay))
-	n.drainWorker(ctx)
+	sleep(ctx, time.Until(schedule.notice))
+	n.drainWorker(ctx, schedule.abandon)
 	failures := []error{
 		n.httpServers[0].Shutdown(ctx),
 		n.keyExecutor.Drain(ctx),
@@ -35,26 +43,48 @@
 	return errors.Join(failures...)
 }
 
+// stopSchedule divides the grace period of a planned stop.
+type stopSchedule struct {
+	// notice is until when callers that have not noticed the stop are served as before.
+	notice time.Time
+	// withdraw is when calls that still wait for a worker are ended.
+	withdraw time.Time
+	// abandon is when calls that a worker still runs are ended. Their callers get an error.
+	abandon time.Time
+	// close is when connections are closed whose answers are still being written.
+	close time.Time
+}
+
 const (
 	percent = 100
-	// gracePercent is the part of the grace period that calls in flight may use. The
+	// abandonPercent is the part of the grace period that calls in flight may use. The
 	// platform tolerates only calls that still run in the last sixth.
-	gracePercent = 85
+	abandonPercent = 85
+	// closePercent leaves time to end before the process is killed.
+	closePercent = 93
+	// withdrawPercent is how much of the grace period, at most maxWithdrawTime, a node has to
+	// refuse a call that waits there.
+	withdrawPercent = 10
+	maxWithdrawTime = 300 * time.Millisecond
 	// closeTimeout limits each step of closing that waits for others, so that the
 	// process ends before it is killed.
 	closeTimeout = 150 * time.Millisecond
 )
 
-// drainWorker waits until the worker has finished its calls, for at most half of the time
-// that is left. The worker makes its child calls at the port for callers, which must stay
-// open as long. The other half is for calls of clients.
-func (n *Node) drainWorker(ctx context.Context) {
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		return
+func newStopSchedule(start time.Time, s zysettings.Shutdown) stopSchedule {
+	abandon := start.Add(s.Grace * abandonPercent / percent)
+	return stopSchedule{
+		notice:   start.Add(max(minDrainDelay, s.DrainDelay)),
+		withdraw: abandon.Add(-min(s.Grace*withdrawPercent/percent, maxWithdrawTime)),
+		abandon:  abandon,
+		close:    start.Add(s.Grace * closePercent / percent),
 	}
-	const half = 2
-	ctx, cancel := context.WithTimeout(ctx, time.Until(deadline)/half)
+}
+
+// drainWorker waits until the worker has finished its calls. It makes its child calls at
+// the port for callers, which stays open as long.
+func (n *Node) drainWorker(ctx context.Context, deadline time.Time) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	if err := n.receiver.Drain(ctx); err != nil {
 		n.log.With("error", err).Info("The worker still runs calls. The port for callers is closed now.")
--- a/io/zypeer/client.go
+++ b/io/zypeer/client.go
@@ -298,11 +298,20 @@
 // Cancel tells a node that an attempt is no longer needed. It returns immediately and
 // ignores errors.
 func (c *Client) Cancel(to zinniayoke.Upstream, id zinniayoke.AttemptID) {
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), heartbeatTimeout)
-		defer cancel()
-		_ = c.call(ctx, to.PeerAddress, "Cancel", &CancelArgs{Attempt: id}, &Empty{})
-	}()
+	go c.notify(to, "Cancel", id)
+}
+
+// Withdraw tells a node to refuse an attempt that still waits for its worker. It returns
+// immediately and ignores errors: nodes of earlier versions do not have the method.
+func (c *Client) Withdraw(to zinniayoke.Upstream, id zinniayoke.AttemptID) {
+	go c.notify(to, "Withdraw", id)
+}
+
+// notify calls a method that names an attempt and has no reply.
+func (c *Client) notify(to zinniayoke.Upstream, method string, id zinniayoke.AttemptID) {
+	ctx, cancel := context.WithTimeout(context.Background(), heartbeatTimeout)
+	defer cancel()
+	_ = c.call(ctx, to.PeerAddress, method, &CancelArgs{Attempt: id}, &Empty{})
 }
 
 // RunAtOwner sends a call with an idempotency key to the key owner at the address,
--- a/io/zypeer/message.go
+++ b/io/zypeer/message.go
@@ -19,7 +19,7 @@
 	Node    zinniayoke.NodeID    `codec:"n"`
 }
 
-// CancelArgs names an attempt that is no longer needed.
+// CancelArgs names an attempt that is no longer needed, or that is withdrawn.
 type CancelArgs struct {
 	Attempt zinniayoke.AttemptID `codec:"a"`
 }
--- a/io/zypeer/server.go
+++ b/io/zypeer/server.go
@@ -21,6 +21,7 @@
 	Run(ctx context.Context, a *zinniayoke.Attempt) *zinniayoke.Reply
 	Query(node zinniayoke.NodeID, id zinniayoke.AttemptID) (*zinniayoke.QueryReply, error)
 	Cancel(id zinniayoke.AttemptID)
+	Withdraw(id zinniayoke.AttemptID)
 	RunAsOwner(ctx context.Context, c *zinniayoke.Call) *zinniayoke.Reply
 	ConfirmNotRun(ctx context.Context, key zinniayoke.Key) bool
 	ReleaseKey(ctx context.Context, key zinniayoke.Key) *zykeyowner.ReleaseReply
@@ -242,6 +243,12 @@
 	return nil
 }
 
+// Withdraw refuses an attempt that still waits for the worker.
+func (m *methods) Withdraw(args *CancelArgs, _ *Empty) error {
+	m.service.Withdraw(args.Attempt)
+	return nil
+}
+
 // Ping replies to the heartbeat of a connection.
 func (m *methods) Ping(_ *Empty, _ *Empty) error {
 	return nil
--- a/path_test.go
+++ b/path_test.go
@@ -533,6 +533,9 @@
 	return keyStates{h}.Query(ctx, to.Node, id)
 }
 
+// Withdraw implements zinniayoke.PeerClient.
+func (h *host) Withdraw(zinniayoke.Upstream, zinniayoke.AttemptID) {}
+
 // Cancel implements zinniayoke.PeerClient.
 func (h *host) Cancel(to zinniayoke.Upstream, id zinniayoke.AttemptID) {
 	if target := h.cluster.find(to.Node); target != nil && h.seesAlive(target) {
--- a/platform.go
+++ b/platform.go
@@ -65,6 +65,9 @@
 	Query(ctx context.Context, to Upstream, id AttemptID) (*QueryReply, error)
 	// Cancel tells a node that the result of an attempt is no longer needed.
 	Cancel(to Upstream, id AttemptID)
+	// Withdraw tells a node to refuse an attempt that still waits for its worker. An attempt
+	// that runs goes on.
+	Withdraw(to Upstream, id AttemptID)
 }
 
 // CustomerLimiter limits the requests of each customer over all nodes together.
