io/zynode, core/zyingress: a departure that was acknowledged binds later processes

Cause: the departure was kept by the process that acknowledged it, and by nobody else. Heartbeats and health checks do not tell a worker that left from one that goes on.

The announcement of a worker that it leaves is now acknowledged once the store has it, in the discovery topic under a key of its own, and gets 503 until then. A process that starts, except the first one of a deployment, sends its worker no calls before it has read that topic, which it did already to find other nodes. While the store is down it goes by the member lists of other nodes, or by heartbeats that come for longer than they can be late. This holds for any set of processes that ends, since the store keeps the promise.

--- a/core/zyingress/admission.go
+++ b/core/zyingress/admission.go
@@ -130,6 +130,8 @@
 		return zinniayoke.NewRefusedError(zinniayoke.ReasonDraining, "the node is stopping")
 	case r.worker == nil || r.gone || now.Sub(r.announcedAt) > r.cfg.AnnouncementTTL:
 		return zinniayoke.NewRefusedError(zinniayoke.ReasonNoUpstream, "the worker is gone")
+	case r.recalling:
+		return zinniayoke.NewRefusedError(zinniayoke.ReasonNotReady, "whether the worker has left is not known yet")
 	case r.announcement.Service != a.Service:
 		return zinniayoke.NewRefusedError(zinniayoke.ReasonNoUpstream, "the worker serves "+string(r.announcement.Service))
 	case r.announcement.State == zinniayoke.WorkerDraining:
--- a/core/zyingress/receiver.go
+++ b/core/zyingress/receiver.go
@@ -53,6 +53,8 @@
 	LoadMeter zinniayoke.LoadMeter
 	// AnnouncementTTL is how long an announcement stays valid; 0 means 3 s.
 	AnnouncementTTL time.Duration
+	// AwaitRecall keeps the worker from getting calls until Recall is called.
+	AwaitRecall bool
 	// FixedLimit derives the concurrency limit from the announced slots instead of
 	// adapting it.
 	FixedLimit bool
@@ -89,9 +91,13 @@
 	// ended is true once this run of the worker has announced, or said in a response, that it
 	// ends.
 	ended bool
-	// exited is an instance that has announced that it ends before this node knew its run,
-	// such as while the node restarted.
-	exited zinniayoke.Instance
+	// departures are those of runs that this process did not know when they left: they were
+	// acknowledged by an earlier process of the node, or came before any heartbeat.
+	departures []zinniayoke.Departure
+	// recalling is true until Recall is called.
+	recalling bool
+	// heardSince is when the first heartbeat of the current run arrived that says that it serves.
+	heardSince time.Time
 	// doubtful is true while the worker was found draining by a probe and has sent no
 	// heartbeat since.
 	doubtful bool
@@ -143,7 +149,7 @@
 	if cfg.AnnouncementTTL == 0 {
 		cfg.AnnouncementTTL = defaultAnnouncementTTL
 	}
-	r := &Receiver{cfg: cfg, calls: make(map[zinniayoke.AttemptID]*activeCall)}
+	r := &Receiver{cfg: cfg, recalling: cfg.AwaitRecall, calls: make(map[zinniayoke.AttemptID]*activeCall)}
 	r.tick = cfg.Timer.Every(idleTickPeriod, r.onTick)
 	return r
 }
--- a/core/zyingress/worker.go
+++ b/core/zyingress/worker.go
@@ -89,7 +89,7 @@
 // whether the state has changed in a way that other nodes need to know.
 func (r *Receiver) HandleAnnouncement(a Announcement, connect func(Announcement) zinniayoke.Worker) (bool, error) {
 	if a.State == zinniayoke.WorkerGone {
-		return r.handleExit(a.Instance), nil
+		return r.handleExit(a), nil
 	}
 	if err := a.Check(); err != nil {
 		return false, err
@@ -104,6 +104,7 @@
 		return false, &AnnouncementError{Field: "incarnation", Accepted: "one that is not older than the last"}
 	}
 	newRun := r.newRun(a)
+	r.noteHeartbeat(now, a, newRun)
 	a.State = r.stateAfter(a, newRun)
 	changed := newRun || r.gone || !a.equalState(r.announcement) || now.Sub(r.announcedAt) > r.cfg.AnnouncementTTL
 	r.gone = false
@@ -116,7 +117,7 @@
 	r.queue.SetSlots(a.Slots)
 	r.announcement, r.announcedAt = a, now
 	if a.State == zinniayoke.WorkerDraining {
-		r.refuseWaiting(zinniayoke.ReasonDraining)
+		r.refuseWaiting()
 	}
 	return r.adoptFound(now, a.Notice) || changed, nil
 }
@@ -138,27 +139,26 @@
 		return true
 	}
 	discovered := r.announcement.Incarnation == 0 && a.Instance != "" && a.Instance == r.announcement.Instance
+	if discovered && r.departureOf(r.announcement) != nil && r.departureOf(a) == nil {
+		return true // The run that the probe was taken for has left, and this is a later one.
+	}
 	return a.Incarnation > r.announcement.Incarnation && !discovered
 }
 
 // stateAfter returns the state of the worker after the announcement. r.mu must be held.
 func (r *Receiver) stateAfter(a Announcement, newRun bool) zinniayoke.WorkerState {
 	if newRun {
-		return r.firstState(a)
+		r.ended = false
+		r.doubtful = a.Sequence == 0 && a.State == zinniayoke.WorkerDraining
 	}
-	return r.nextState(a)
-}
-
-// firstState returns the state of a run of the worker after its first announcement. The
-// run of an instance whose exit came before is the one that has ended. r.mu must be held.
-func (r *Receiver) firstState(a Announcement) zinniayoke.WorkerState {
-	r.ended = a.Instance != "" && a.Instance == r.exited
-	r.exited = ""
-	r.doubtful = a.Sequence == 0 && a.State == zinniayoke.WorkerDraining
-	if r.ended {
+	if d := r.departureOf(a); d != nil {
+		r.ended = r.ended || isFinal(d)
 		return zinniayoke.WorkerDraining
 	}
-	return a.State
+	if newRun {
+		return a.State
+	}
+	return r.nextState(a)
 }
 
 // nextState returns the state of the worker after the announcement. A probe, which
@@ -208,11 +208,11 @@
 
 // handleExit records that a run of the worker ends. The run gets no new calls, and
 // its late announcements are ignored. It reports whether the state has changed.
-func (r *Receiver) handleExit(id zinniayoke.Instance) bool {
+func (r *Receiver) handleExit(a Announcement) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.worker == nil || r.announcement.Instance != id {
-		r.exited = id
+	if r.worker == nil || r.announcement.Instance != a.Instance {
+		r.addDeparture(zinniayoke.Departure{Instance: a.Instance, Incarnation: a.Incarnation})
 		return false
 	}
 	if r.ended {
@@ -227,7 +227,7 @@
 func (r *Receiver) endRun() {
 	r.ended = true
 	r.announcement.State = zinniayoke.WorkerDraining
-	r.refuseWaiting(zinniayoke.ReasonDraining)
+	r.refuseWaiting()
 }
 
 // queuePerSlot returns the queue length per slot; 0 means the default. The queue
@@ -240,11 +240,12 @@
 	return 0
 }
 
-// refuseWaiting refuses all waiting calls. r.mu must be held.
-func (r *Receiver) refuseWaiting(reason zinniayoke.Reason) {
+// refuseWaiting refuses all waiting calls, because the worker or the node stops. r.mu must be
+// held.
+func (r *Receiver) refuseWaiting() {
 	for _, c := range r.calls {
 		if !c.running && r.queue.Remove(c.attempt.ID) {
-			c.admission <- reason
+			c.admission <- zinniayoke.ReasonDraining
 			r.removeCall(c)
 		}
 	}
@@ -258,15 +259,14 @@
 	r.gone = true
 }
 
-// Worker returns the last announcement and the state to report to other nodes.
+// Worker returns the last announcement and the state to report to other nodes, which learn
+// that this node is stopping by other means.
 func (r *Receiver) Worker() (Announcement, zinniayoke.WorkerState) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
-	case r.worker == nil:
+	case r.worker == nil || r.recalling:
 		return r.announcement, zinniayoke.WorkerGone
-	case r.draining:
-		return r.announcement, zinniayoke.WorkerDraining
 	case r.gone || time.Since(r.announcedAt) > r.cfg.AnnouncementTTL:
 		return r.announcement, zinniayoke.WorkerGone
 	}
@@ -338,7 +338,7 @@
 	defer r.mu.Unlock()
 	r.draining = true
 	if r.queue != nil {
-		r.refuseWaiting(zinniayoke.ReasonDraining)
+		r.refuseWaiting()
 	}
 }
 
--- a/failure.go
+++ b/failure.go
@@ -93,3 +93,20 @@
 func (e *LogError) Unwrap() error {
 	return e.Err
 }
+
+// DepartureError reports that the announcement of a worker that it leaves could not be
+// recorded. The worker gets no calls, but the announcement must not be acknowledged.
+type DepartureError struct {
+	Instance Instance
+	Err      error
+}
+
+// Error returns the instance and the cause.
+func (e *DepartureError) Error() string {
+	return fmt.Sprintf("record that worker %q leaves: %v", e.Instance, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *DepartureError) Unwrap() error {
+	return e.Err
+}
--- a/io/zynode/discovery.go
+++ b/io/zynode/discovery.go
@@ -11,14 +11,15 @@
 	"zinniayoke"
 )
 
-// memberRecord is the body of a record of the member stream, in which each node
-// announces its peer address.
+// memberRecord is the body of a record of the member stream, in which a node announces its
+// peer address or the departure of its worker.
 type memberRecord struct {
-	Node zinniayoke.NodeID `json:"node"`
-	Peer string            `json:"peer"`
+	Node      zinniayoke.NodeID     `json:"node,omitempty"`
+	Peer      string                `json:"peer,omitempty"`
+	Departure *zinniayoke.Departure `json:"departure,omitempty"`
 }
 
-// maxDiscoveredPeers limits the result of FindPeers to the most recent addresses.
+// maxDiscoveredPeers limits the result of Find to the most recent addresses.
 const maxDiscoveredPeers = 64
 
 // logDiscovery implements zinniayoke.Discovery with the member stream of the shared
@@ -29,37 +30,58 @@
 
 // Announce appends the peer address of a node to the member stream.
 func (d *logDiscovery) Announce(ctx context.Context, node zinniayoke.NodeID, peer string) error {
-	body, err := json.Marshal(memberRecord{Node: node, Peer: peer})
+	return d.append(ctx, memberRecord{Node: node, Peer: peer})
+}
+
+// RecordDeparture appends the departure to the member stream.
+func (d *logDiscovery) RecordDeparture(ctx context.Context, departure zinniayoke.Departure) error {
+	return d.append(ctx, memberRecord{Departure: &departure})
+}
+
+// DropDepartures does nothing: records expire with the log.
+func (d *logDiscovery) DropDepartures(context.Context, []zinniayoke.Departure) error {
+	return nil
+}
+
+func (d *logDiscovery) append(ctx context.Context, record memberRecord) error {
+	body, err := json.Marshal(record)
 	if err != nil {
-		return fmt.Errorf("encode member record of %s: %w", node, err)
+		return fmt.Errorf("encode record of the member stream: %w", err)
 	}
 	if _, err := d.sharedLog.Append(ctx, zinniayoke.MemberStream, uuid.NewString(), body); err != nil {
-		return fmt.Errorf("announce %s at %s in member stream: %w", node, peer, err)
+		return fmt.Errorf("append to member stream: %w", err)
 	}
 	return nil
 }
 
-// FindPeers returns the most recent addresses of the member stream, newest first.
-func (d *logDiscovery) FindPeers(ctx context.Context) ([]string, error) {
+// Find returns the most recent addresses of the member stream, newest first, and the
+// departures in it.
+func (d *logDiscovery) Find(ctx context.Context) (zinniayoke.Registry, error) {
+	var found zinniayoke.Registry
 	from, err := d.sharedLog.First(ctx, zinniayoke.MemberStream)
 	if err != nil {
-		return nil, fmt.Errorf("find start of member stream: %w", err)
+		return found, fmt.Errorf("find start of member stream: %w", err)
 	}
-	var addresses []string
 	for {
 		records, err := d.sharedLog.Read(ctx, zinniayoke.MemberStream, from, readLimit)
 		if err != nil {
-			return addresses, fmt.Errorf("read member stream at offset %d: %w", from, err)
+			return found, fmt.Errorf("read member stream at offset %d: %w", from, err)
 		}
 		if len(records) == 0 {
-			addresses = addresses[max(len(addresses)-maxDiscoveredPeers, 0):]
-			slices.Reverse(addresses)
-			return addresses, nil
+			found.Peers = found.Peers[max(len(found.Peers)-maxDiscoveredPeers, 0):]
+			slices.Reverse(found.Peers)
+			return found, nil
 		}
 		for _, r := range records {
 			var record memberRecord
-			if json.Unmarshal(r.Body, &record) == nil && record.Peer != "" {
-				addresses = append(addresses, record.Peer)
+			if json.Unmarshal(r.Body, &record) != nil {
+				continue
+			}
+			if record.Peer != "" {
+				found.Peers = append(found.Peers, record.Peer)
+			}
+			if record.Departure != nil {
+				found.Departures = append(found.Departures, *record.Departure)
 			}
 		}
 		from = records[len(records)-1].Offset + 1
--- a/io/zynode/join.go
+++ b/io/zynode/join.go
@@ -50,26 +50,41 @@
 		// Other nodes have found this node first.
 		n.joined.Store(true)
 	}
+	n.joinDiscovered()
+	if n.hasBundleSource() {
+		return
+	}
+	if err := n.follower.ReadNew(); err != nil {
+		n.log.With("error", err).Debug("The bundle stream cannot be read.")
+	}
+}
+
+// joinDiscovered exchanges member lists with nodes that discovery knows, and takes in the rest
+// of what they have published.
+func (n *Node) joinDiscovered() {
 	ctx, cancel := context.WithTimeout(context.Background(), discoveryTimeout)
 	defer cancel()
-	found, err := n.discovery.FindPeers(ctx)
+	registry, err := n.discovery.Find(ctx)
 	if err != nil {
 		n.log.With("error", err).Warn("Discovery of other nodes failed.")
+	} else {
+		n.recall(registry.Departures)
 	}
+	found := registry.Peers
 	unknown := n.unknownAddresses(append(slices.Clone(n.cfg.Settings.Seeds), found...))
 	rand.Shuffle(len(unknown), func(i, j int) { unknown[i], unknown[j] = unknown[j], unknown[i] })
 	synced := n.syncWithAny(unknown[:min(len(unknown), maxJoinAddresses)], max(len(found), len(n.view.PeerAddresses())))
 	if synced > 0 || len(unknown) == 0 && err == nil {
 		n.joined.Store(true)
 	}
+	if err != nil && !n.recalled.Load() {
+		n.recallWithoutDiscovery()
+	}
 	if err == nil && !slices.Contains(found, n.peerAddress) && (synced == 0 || n.isReader()) {
 		n.announce()
 	}
-	if n.hasBundleSource() {
-		return
-	}
-	if err := n.follower.ReadNew(); err != nil {
-		n.log.With("error", err).Debug("The bundle stream cannot be read.")
+	if err == nil && n.isReader() {
+		n.dropOldDepartures(registry.Departures)
 	}
 }
 
--- a/io/zynode/node.go
+++ b/io/zynode/node.go
@@ -119,7 +119,11 @@
 	settings     atomic.Pointer[zysettings.Settings]
 	retryBudgets *zyattempt.ServiceRetryBudgets
 	leaving      atomic.Bool
-	started      time.Time
+	departures   recordedDepartures
+	// recalled is true once the departures that earlier processes have recorded were read.
+	recalled           atomic.Bool
+	recallSubscription atomic.Pointer[zytimer.Subscription]
+	started            time.Time
 	// peerAddress is the address of the peer port, used for RPC over TCP and for
 	// membership packets over UDP.
 	peerAddress string
@@ -274,6 +278,7 @@
 		go n.serve(n.httpServers[i], listener)
 	}
 	n.findWorker()
+	n.recallSubscription.Store(n.timer.Every(recallPeriod, n.recallIfDue))
 	if n.hasBundleSource() {
 		go n.join() // Don't delay calls while discovery is unavailable.
 	} else {
--- a/io/zynode/request_path.go
+++ b/io/zynode/request_path.go
@@ -99,7 +99,7 @@
 	n.receiver = zyingress.New(zyingress.Config{
 		Node: n.id, Bundle: n.bundle.Current, Fence: n.fence, Grants: n.grants, Quarantine: n.quarantine,
 		Parents: parents, Timer: n.timer, Meter: n.meter, OnCrash: n.broadcastCrashRecords, OnLeaving: n.updateSelf,
-		AnnouncementTTL: n.cfg.Settings.Worker.Heartbeat * maxMissedHeartbeats, FixedLimit: n.hasBundleSource(),
+		AnnouncementTTL: n.cfg.Settings.Worker.Heartbeat * maxMissedHeartbeats, FixedLimit: n.hasBundleSource(), AwaitRecall: !n.cfg.Settings.Bootstrap,
 		Recorder: n.recorder, Graph: graph, Callers: callers, RetryBudgets: n.retryBudgets, LoadMeter: n.meter,
 	})
 	n.sender = zyegress.New(zyegress.Config{
@@ -204,7 +204,7 @@
 	if changed {
 		n.updateSelf()
 	}
-	return nil
+	return n.recordDeparture(a)
 }
 
 // updateSelf updates the entry of this node in the member list and notifies the
--- a/io/zynode/state.go
+++ b/io/zynode/state.go
@@ -73,6 +73,9 @@
 	Goroutines     int   `json:"goroutines"`
 	// ReadsStore is true while this node reads the store for its failure domain.
 	ReadsStore bool `json:"readsStore"`
+	// Recalled is true once this process has read which departures of its worker earlier ones
+	// have acknowledged.
+	Recalled bool `json:"recalled"`
 }
 
 // State returns a snapshot of the node for operators.
@@ -83,7 +86,7 @@
 		Members: n.view.Members(), CrashRecords: n.quarantine.Records(),
 		Keys:           KeyState{Owned: n.keyOwner.Len(), Granted: n.grants.Len(), Attempts: n.fence.Len()},
 		CustomerLimits: n.customerLimits.limiter.State(time.Now()),
-		Control:        ControlPlaneState{RecordsSkipped: n.bundle.Skipped(), ResidentBytes: residentBytes(), Goroutines: runtime.NumGoroutine(), ReadsStore: n.isReader()},
+		Control:        ControlPlaneState{RecordsSkipped: n.bundle.Skipped(), ResidentBytes: residentBytes(), Goroutines: runtime.NumGoroutine(), ReadsStore: n.isReader(), Recalled: n.recalled.Load()},
 	}
 	if bundle := n.bundle.Current(); bundle != nil {
 		s.Hash = bundle.Hash
@@ -197,7 +200,7 @@
 func (n *Node) ServingWorkers() int {
 	serving := 0
 	for _, m := range n.view.Members() {
-		if isPresent(m) && m.Upstream.State == zinniayoke.WorkerServing {
+		if isPresent(m) && !m.Upstream.Leaving && m.Upstream.State == zinniayoke.WorkerServing {
 			serving++
 		}
 	}
--- a/io/zyweb/upstream.go
+++ b/io/zyweb/upstream.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"zinniayoke"
 	"zinniayoke/core/zyingress"
 )
 
@@ -38,11 +39,14 @@
 		if err == nil {
 			err = cfg.HandleAnnouncement(a)
 		}
-		if err != nil {
+		switch {
+		case errors.As(err, new(*zinniayoke.DepartureError)):
+			c.JSON(http.StatusServiceUnavailable, ErrorMessage{Error: err.Error()})
+		case err != nil:
 			c.JSON(http.StatusBadRequest, ErrorMessage{Error: err.Error()})
-			return
+		default:
+			c.Status(http.StatusNoContent)
 		}
-		c.Status(http.StatusNoContent)
 	})
 	return engine
 }
--- a/platform.go
+++ b/platform.go
@@ -24,14 +24,39 @@
 	First(ctx context.Context, s Stream) (Offset, error)
 }
 
-// Discovery lets nodes publish their peer addresses and lets starting nodes find
-// peers to join.
+// Discovery lets nodes publish what outlives their processes: their peer addresses, by which
+// starting nodes find others to join, and which runs of their workers leave.
 type Discovery interface {
 	// Announce publishes this node's peer address.
 	Announce(ctx context.Context, id NodeID, peer string) error
-	// FindPeers returns the peer addresses of nodes, newest first. Some of the nodes
-	// may be gone.
-	FindPeers(ctx context.Context) ([]string, error)
+	// RecordDeparture publishes that a run of the worker on the host leaves. Once it has
+	// returned nil, all later calls of Find return the departure until it is dropped.
+	RecordDeparture(ctx context.Context, d Departure) error
+	// DropDepartures removes departures, at the latest when the platform removes them.
+	DropDepartures(ctx context.Context, list []Departure) error
+	// Find returns what is published.
+	Find(ctx context.Context) (Registry, error)
+}
+
+// Registry is what nodes have published.
+type Registry struct {
+	// Peers holds the peer addresses of nodes, newest first. Some of the nodes may be gone.
+	Peers []string
+	// Departures holds the recorded departures in no particular order.
+	Departures []Departure
+}
+
+// Departure is the acknowledged announcement of a worker that one of its runs leaves.
+type Departure struct {
+	Host     string   `json:"host"`
+	Instance Instance `json:"instance"`
+	// Incarnation is that of the run, or an upper bound if the host's node has not known the
+	// run; 0 if there is neither.
+	Incarnation Incarnation `json:"incarnation,omitempty"`
+	// Sequence is that of the announcement; 0 if none of the run counts any more.
+	Sequence uint64 `json:"sequence,omitempty"`
+	// Recorded is when the departure was recorded, by the clock of the host.
+	Recorded time.Time `json:"recorded"`
 }
 
 // Worker is the application process on the node's host that executes calls.
