core/zyentry: a stopping node passes no booking of its worker on that may outlast it

It is refused like a client's; a lookup goes on if the time of its objective is left, since the run that makes it fails without it.

Evidence: TestStoppingNodeTakesCallsItCannotFinish failed before at "a lookup of a worker, which usually takes longer"; the case of the booking comes after it.

--- a/core/zyentry/shutdown.go
+++ b/core/zyentry/shutdown.go
@@ -27,17 +27,17 @@
 	e.abandon()
 }
 
-// refuseOutlasting refuses root calls that the node might not see the end of, once it has
-// given callers the time to go elsewhere. Their callers can still try another node, but not
-// once a worker has begun. A call of a worker gets the time that is left instead: without
-// it, the run that makes it fails in any case.
+// refuseOutlasting refuses calls that the node might not see the end of, once it has given
+// callers the time to go elsewhere. Their callers can still try another node, but not once a
+// worker has begun.
 func (e *Entry) refuseOutlasting(next handler) handler {
 	return func(ctx context.Context, cs *callState) (*zinniayoke.Reply, error) {
 		s, now := e.shutdown.Load(), time.Now()
 		if s == nil || now.Before(s.AcceptAll) && now.Before(s.End) || cs.call.Deadline.Before(s.End) {
 			return next(ctx, cs)
 		}
-		if left := s.End.Sub(now); left <= 0 || cs.parent == nil && !cs.fromWorker {
+		left := s.End.Sub(now)
+		if !cs.mayBeCutShort(left) {
 			refusal := zinniayoke.NewRefusedError(zinniayoke.ReasonDraining, "the node is stopping and may not live until the answer")
 			refusal.RetryAfter = max(left, minRetryAfter)
 			cs.refusedByShutdown = true
@@ -50,5 +50,12 @@
 	}
 }
 
+// mayBeCutShort reports whether the call may run in the time that is left: it is a call of a
+// worker, whose run fails without it, it may be repeated, and it usually takes no longer.
+func (cs *callState) mayBeCutShort(left time.Duration) bool {
+	fromWorker := cs.parent != nil || cs.fromWorker
+	return fromWorker && !cs.route.NeverRepeat && cs.route.Objective > 0 && left >= cs.route.Objective
+}
+
 // minRetryAfter is the shortest time after which a caller may try a stopping node again.
 const minRetryAfter = 200 * time.Millisecond
