--- a/io/zynode/departure.go
+++ b/io/zynode/departure.go
@@ -35,8 +35,8 @@
 	incarnation zinniayoke.Incarnation
 }
 
-// has reports whether the run's departure is recorded. Further announcements of the run that it
-// leaves need no record of their own, as no heartbeat between them says that it serves.
+// has reports whether a departure of the run is recorded. A run that announces again that it
+// leaves needs no second record, unless it has served in between (see clear).
 func (r *recordedDepartures) has(d zinniayoke.Departure) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -52,7 +52,7 @@
 	r.runs[departedRun{d.Instance, d.Incarnation}] = true
 }
 
-// clear forgets all runs, because the worker serves.
+// clear forgets all runs, because the worker serves: the next departure is a new one.
 func (r *recordedDepartures) clear() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/platform.go
+++ b/platform.go
@@ -32,7 +32,8 @@
 	// RecordDeparture publishes that a run of the worker on the host leaves. Once it has
 	// returned nil, all later calls of Find return the departure until it is dropped.
 	RecordDeparture(ctx context.Context, d Departure) error
-	// DropDepartures removes departures, at the latest when the platform removes them.
+	// DropDepartures removes departures that are no longer needed. An implementation may leave
+	// that to the expiry of its records.
 	DropDepartures(ctx context.Context, list []Departure) error
 	// Find returns what is published.
 	Find(ctx context.Context) (Registry, error)
@@ -53,7 +54,8 @@
 	// Incarnation is that of the run, or an upper bound if the host's node has not known the
 	// run; 0 if there is neither.
 	Incarnation Incarnation `json:"incarnation,omitempty"`
-	// Sequence is that of the announcement; 0 if none of the run counts any more.
+	// Sequence is that of the announcement. Later announcements of the run still count; 0 means
+	// that none does.
 	Sequence uint64 `json:"sequence,omitempty"`
 	// Recorded is when the departure was recorded, by the clock of the host.
 	Recorded time.Time `json:"recorded"`
