--- a/io/zynode/departure.go
+++ b/io/zynode/departure.go
@@ -13,7 +13,7 @@
 const (
 	// recallPeriod is the interval between attempts to learn whether the worker has left.
 	recallPeriod = 500 * time.Millisecond
-	// lateRecallPeriod is that interval once other nodes have told it.
+	// lateRecallPeriod is that interval once it is known without discovery.
 	lateRecallPeriod = 2 * time.Second
 	// recordTimeout lets the acknowledgement of a departure reach the worker, which waits for a
 	// second.
