--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the cases review/6 and later. They need no module but the standard library.
 set -euo pipefail
 cd "$(dirname "$0")/stand-2"
-go build -o bin/stand .
+GOWORK=off go build -buildvcs=false -o bin/stand .
