platform: calls bear the service that runs on the host now

Cause: the adapter of the callers' port kept the service of the settings of the start. Neither a reload nor the heartbeats of the new worker changed it.

Change: the receiver keeps the service of the host. Changed settings name it, and so does a heartbeat whose run began later, or goes on for longer than a heartbeat can be late. A run of a service that no configuration names is refused, since it would take the worker's place.

--- a/core/zyingress/receiver.go
+++ b/core/zyingress/receiver.go
@@ -53,6 +53,8 @@
 	LoadMeter zinniayoke.LoadMeter
 	// AnnouncementTTL is how long an announcement stays valid; 0 means 3 s.
 	AnnouncementTTL time.Duration
+	// Service is that of the host by the settings at the start.
+	Service zinniayoke.Service
 	// AwaitRecall keeps the worker from getting calls until Recall is called.
 	AwaitRecall bool
 	// FixedLimit derives the concurrency limit from the announced slots instead of
@@ -88,6 +90,7 @@
 	gone bool
 	// draining is true once the node is stopping.
 	draining bool
+	service  hostService
 	// ended is true once this run of the worker has announced, or said in a response, that it
 	// ends.
 	ended bool
@@ -149,7 +152,10 @@
 	if cfg.AnnouncementTTL == 0 {
 		cfg.AnnouncementTTL = defaultAnnouncementTTL
 	}
-	r := &Receiver{cfg: cfg, recalling: cfg.AwaitRecall, calls: make(map[zinniayoke.AttemptID]*activeCall)}
+	r := &Receiver{
+		cfg: cfg, recalling: cfg.AwaitRecall, calls: make(map[zinniayoke.AttemptID]*activeCall),
+		service: hostService{name: cfg.Service, named: time.Now()},
+	}
 	r.tick = cfg.Timer.Every(idleTickPeriod, r.onTick)
 	return r
 }
--- a/core/zyingress/worker.go
+++ b/core/zyingress/worker.go
@@ -100,11 +100,12 @@
 	if r.isOutdated(a) {
 		return false, nil
 	}
-	if r.worker != nil && a.Incarnation < r.announcement.Incarnation {
-		return false, &AnnouncementError{Field: "incarnation", Accepted: "one that is not older than the last"}
-	}
 	newRun := r.newRun(a)
+	if err := r.checkRun(a, newRun); err != nil {
+		return false, err
+	}
 	r.noteHeartbeat(now, a, newRun)
+	r.noteService(now, a, newRun)
 	a.State = r.stateAfter(a, newRun)
 	changed := newRun || r.gone || !a.equalState(r.announcement) || now.Sub(r.announcedAt) > r.cfg.AnnouncementTTL
 	r.gone = false
@@ -122,6 +123,18 @@
 	return r.adoptFound(now, a.Notice) || changed, nil
 }
 
+// checkRun returns an *AnnouncementError if the announcement must not replace the last one. r.mu
+// must be held.
+func (r *Receiver) checkRun(a Announcement, newRun bool) error {
+	switch {
+	case r.worker != nil && a.Incarnation < r.announcement.Incarnation:
+		return &AnnouncementError{Field: "incarnation", Accepted: "one that is not older than the last"}
+	case r.servesUnknown(a, newRun):
+		return &AnnouncementError{Field: "service", Accepted: "a service of the bundle"}
+	}
+	return nil
+}
+
 // isOutdated reports whether a later announcement of the same run has already
 // arrived, or the run has announced that it ends. r.mu must be held.
 func (r *Receiver) isOutdated(a Announcement) bool {
--- a/io/zynode/adapters.go
+++ b/io/zynode/adapters.go
@@ -8,6 +8,7 @@
 	"zinniayoke"
 	"zinniayoke/core/zybundle"
 	"zinniayoke/core/zyingress"
+	"zinniayoke/core/zysettings"
 	"zinniayoke/io/zylog"
 	"zinniayoke/io/zyweb"
 	"zinniayoke/io/zyworker"
@@ -30,6 +31,8 @@
 	// through the shared log.
 	BundleSource BundleSource
 	Discovery    zinniayoke.Discovery
+	// Reload applies changed settings to the adapters; nil if none of them can change.
+	Reload func(s *zysettings.Settings)
 	// ReadyPath is a path of the admin port that reports readiness, in addition to
 	// /readyz.
 	ReadyPath string
@@ -41,6 +44,8 @@
 	Bundle func() *zybundle.Bundle
 	// Leaving reports whether the node is stopping.
 	Leaving func() bool
+	// Service returns the service that runs on the host now.
+	Service func() zinniayoke.Service
 }
 
 // BundleSource is an external system that decides which bundle is in force.
--- a/io/zynode/departure.go
+++ b/io/zynode/departure.go
@@ -18,8 +18,6 @@
 	// recordTimeout lets the acknowledgement of a departure reach the worker, which waits for a
 	// second.
 	recordTimeout = 800 * time.Millisecond
-	// maxHeartbeatDelay is how late a heartbeat may arrive.
-	maxHeartbeatDelay = 10 * time.Second
 	// departureRetention is how long departures are kept. A worker that leaves ends earlier.
 	departureRetention = 1 * time.Hour
 )
@@ -150,7 +148,7 @@
 // be late.
 func (n *Node) recallFromOthers() ([]zinniayoke.Departure, bool) {
 	announced, _ := n.receiver.Worker()
-	heard := n.receiver.HeardFor() > maxHeartbeatDelay
+	heard := n.receiver.HeardFor() > zyingress.MaxHeartbeatDelay
 	switch last, ok := n.view.EarlierRun(n.cfg.Settings.Host); {
 	case ok && last.State == zinniayoke.WorkerServing:
 		return nil, true
--- a/io/zynode/reload.go
+++ b/io/zynode/reload.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"slices"
 
 	"zinniayoke/core/zysettings"
 )
@@ -11,9 +12,8 @@
 	n.log.With("error", err).Warn(text)
 }
 
-// Reload applies changed settings. The log level, the limits of the service retry
-// budgets and the shutdown times change at once; ports, locality, keys and the
-// platform change only with a restart.
+// Reload applies changed settings. What cannot change while the process runs is named in the
+// log; see restartFields.
 func (n *Node) Reload(s *zysettings.Settings) {
 	old := n.settings.Swap(s)
 	if reflect.DeepEqual(old, s) {
@@ -26,5 +26,42 @@
 	if n.retryBudgets != nil {
 		n.retryBudgets.SetLimits(s.ServiceRetryBudget.Ratio, s.ServiceRetryBudget.Slack)
 	}
-	n.log.With("settings", s.Summary()).Info("The settings have changed.")
+	if s.Worker.Service != old.Worker.Service {
+		n.receiver.SetService(s.Worker.Service)
+	}
+	if s.Worker.Heartbeat > 0 {
+		n.receiver.SetAnnouncementTTL(s.Worker.Heartbeat * maxMissedHeartbeats)
+	}
+	if n.cfg.Adapters.Reload != nil {
+		n.cfg.Adapters.Reload(s)
+	}
+	log := n.log.With("settings", s.Summary())
+	if fields := restartFields(n.cfg.Settings, s); len(fields) > 0 {
+		log.With("fields", fields).Warn("The settings have changed. Some fields take effect with the next start.")
+		return
+	}
+	log.Info("The settings have changed.")
+}
+
+// restartFields returns the names of the settings that differ and take effect only at a start.
+func restartFields(started, s *zysettings.Settings) []string {
+	var fields []string
+	for _, f := range []struct {
+		name  string
+		equal bool
+	}{
+		{"node", started.Host == s.Host && started.Locality == s.Locality},
+		{"listen", started.Listen == s.Listen},
+		{"peers", slices.Equal(started.Seeds, s.Seeds) && slices.Equal(started.PeerKey, s.PeerKey)},
+		{"log", started.LogAddress == s.LogAddress},
+		{"logging.format", started.Logging.Format == s.Logging.Format},
+		{"approvals", reflect.DeepEqual(started.Genesis, s.Genesis)},
+		{"retry.window", started.ServiceRetryBudget.Window == s.ServiceRetryBudget.Window},
+		{"customerLimits", started.CustomerLimits == s.CustomerLimits},
+	} {
+		if !f.equal {
+			fields = append(fields, f.name)
+		}
+	}
+	return fields
 }
--- a/io/zynode/request_path.go
+++ b/io/zynode/request_path.go
@@ -99,7 +99,7 @@
 	n.receiver = zyingress.New(zyingress.Config{
 		Node: n.id, Bundle: n.bundle.Current, Fence: n.fence, Grants: n.grants, Quarantine: n.quarantine,
 		Parents: parents, Timer: n.timer, Meter: n.meter, OnCrash: n.broadcastCrashRecords, OnLeaving: n.updateSelf,
-		AnnouncementTTL: n.cfg.Settings.Worker.Heartbeat * maxMissedHeartbeats, FixedLimit: n.hasBundleSource(), AwaitRecall: !n.cfg.Settings.Bootstrap,
+		Service: n.cfg.Settings.Worker.Service, AnnouncementTTL: n.cfg.Settings.Worker.Heartbeat * maxMissedHeartbeats, FixedLimit: n.hasBundleSource(), AwaitRecall: !n.cfg.Settings.Bootstrap,
 		Recorder: n.recorder, Graph: graph, Callers: callers, RetryBudgets: n.retryBudgets, LoadMeter: n.meter,
 	})
 	n.sender = zyegress.New(zyegress.Config{
@@ -191,7 +191,7 @@
 // those of the local service. A node that has not joined does not know them.
 func (n *Node) updateRetryHosts(now time.Time) {
 	if n.retryBudgets != nil && n.joined.Load() {
-		n.retryBudgets.SetHosts(now, n.view.ServiceHosts(n.cfg.Settings.Worker.Service))
+		n.retryBudgets.SetHosts(now, n.view.ServiceHosts(n.receiver.Service()))
 	}
 }
 
--- a/io/zynode/state.go
+++ b/io/zynode/state.go
@@ -22,13 +22,15 @@
 
 // State is the body of /debug/state.
 type State struct {
-	Node         zinniayoke.NodeID          `json:"node"`
-	Locality     zinniayoke.Locality        `json:"place"`
-	Started      time.Time                  `json:"since"`
-	Version      zinniayoke.Version         `json:"version"`
-	InForceSince time.Time                  `json:"inForceSince"`
-	Hash         zybundle.Hash              `json:"hash"`
-	Worker       zinniayoke.Upstream        `json:"worker"`
+	Node         zinniayoke.NodeID   `json:"node"`
+	Locality     zinniayoke.Locality `json:"place"`
+	Started      time.Time           `json:"since"`
+	Version      zinniayoke.Version  `json:"version"`
+	InForceSince time.Time           `json:"inForceSince"`
+	Hash         zybundle.Hash       `json:"hash"`
+	Worker       zinniayoke.Upstream `json:"worker"`
+	// Service is that of the host, which calls from it bear.
+	Service      zinniayoke.Service         `json:"service"`
 	Load         zyingress.Load             `json:"load"`
 	Totals       zymetric.Totals            `json:"totals"`
 	Members      []zymember.Member          `json:"members"`
@@ -82,7 +84,7 @@
 func (n *Node) State() State {
 	s := State{
 		Node: n.id, Locality: n.cfg.Settings.Locality, Started: n.started, Version: n.bundle.Version(), InForceSince: n.bundle.InForceSince(),
-		Worker: n.localUpstream(), Load: n.receiver.Load(), Totals: n.meter.Totals(),
+		Worker: n.localUpstream(), Service: n.receiver.Service(), Load: n.receiver.Load(), Totals: n.meter.Totals(),
 		Members: n.view.Members(), CrashRecords: n.quarantine.Records(),
 		Keys:           KeyState{Owned: n.keyOwner.Len(), Granted: n.grants.Len(), Attempts: n.fence.Len()},
 		CustomerLimits: n.customerLimits.limiter.State(time.Now()),
@@ -108,7 +110,7 @@
 
 // retryBudget returns the state of the retry budget of the worker's service.
 func (n *Node) retryBudget() zyattempt.ServiceRetryState {
-	return n.retryBudgets.State(time.Now(), n.cfg.Settings.Worker.Service)
+	return n.retryBudgets.State(time.Now(), n.receiver.Service())
 }
 
 // residentBytes returns the resident memory of the process, 0 if the system does not
