io/zynode: a departure outlives the records of the store

Cause: the record in the store was the only holder beside the process that had acknowledged, and nothing wrote it again in the new era. A new era that another request noticed first was never reported at all.

Change: all nodes hold the departures of the last hour, and one of them has a departure before it is acknowledged. Readers write again what the store lacks and then confirm its era. A process that starts asks other nodes too; in an era that nobody has confirmed it goes by nodes that know, or by heartbeats that come for longer than they can be late. Changes, SyncArgs and SyncReply have new fields at their end, which earlier versions skip.

--- a/core/zyingress/departure.go
+++ b/core/zyingress/departure.go
@@ -37,24 +37,39 @@
 	defer r.mu.Unlock()
 	changed := r.recalling
 	r.recalling = false
+	return r.learn(list) || changed
+}
+
+// Learn takes in departures that other nodes know. It reports whether the state of the worker
+// has changed.
+func (r *Receiver) Learn(list ...zinniayoke.Departure) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.learn(list)
+}
+
+// learn adds departures to those that are known, and ends the current run of the worker if it is
+// among them. r.mu must be held.
+func (r *Receiver) learn(list []zinniayoke.Departure) bool {
 	for _, d := range list {
 		r.addDeparture(d)
 	}
-	if r.worker == nil {
-		return changed
+	if r.worker == nil || r.ended {
+		return false
 	}
 	d := r.departureOf(r.announcement)
-	if d == nil || r.ended {
-		return changed
-	}
-	if isFinal(d) {
+	switch {
+	case d == nil:
+		return false
+	case isFinal(d):
 		r.endRun()
 		return true
 	}
+	changed := r.announcement.State != zinniayoke.WorkerDraining
 	r.announcement.State = zinniayoke.WorkerDraining
 	r.announcement.Sequence = max(r.announcement.Sequence, d.Sequence)
 	r.refuseWaiting()
-	return true
+	return changed
 }
 
 // HeardFor returns for how long heartbeats of the current run have arrived that say that it
--- a/core/zyingress/worker.go
+++ b/core/zyingress/worker.go
@@ -42,6 +42,8 @@
 	MaxConnections = 100_000
 	// MaxSequence leaves room above any announcement, so that later ones are never outdated.
 	MaxSequence = 1 << 53
+	// MaxInstance is the length of an instance in bytes.
+	MaxInstance = 128
 	MaxWarmup   = time.Hour
 )
 
@@ -88,6 +90,9 @@
 // worker is new or its address or number of connections has changed. It reports
 // whether the state has changed in a way that other nodes need to know.
 func (r *Receiver) HandleAnnouncement(a Announcement, connect func(Announcement) zinniayoke.Worker) (bool, error) {
+	if len(a.Instance) > MaxInstance {
+		return false, &AnnouncementError{Field: "instance", Accepted: "1 to 128 bytes"}
+	}
 	if a.State == zinniayoke.WorkerGone {
 		return r.handleExit(a), nil
 	}
--- a/core/zymember/broadcast.go
+++ b/core/zymember/broadcast.go
@@ -53,14 +53,22 @@
 }
 
 // enqueueBroadcast queues a change for the next packets. It replaces a queued
-// change about the same member or request.
+// change about the same member, request or departure.
 func (t *Table) enqueueBroadcast(c Change) {
 	t.broadcasts = slices.DeleteFunc(t.broadcasts, func(b *broadcast) bool {
-		return b.change.Upstream.Node == c.Upstream.Node && b.change.Fingerprint == c.Fingerprint
+		return b.change.Upstream.Node == c.Upstream.Node && b.change.Fingerprint == c.Fingerprint && sameDeparture(b.change, c)
 	})
 	t.broadcasts = append(t.broadcasts, &broadcast{change: c})
 }
 
+// sameDeparture reports whether both changes are about the same departure, or both about none.
+func sameDeparture(a, b Change) bool {
+	if a.Departure == nil || b.Departure == nil {
+		return a.Departure == b.Departure
+	}
+	return *a.Departure == *b.Departure
+}
+
 // Gossip returns pings to a few random members that carry the queued changes which
 // were never sent. If there are none, the pings carry those sent least often.
 func (t *Table) Gossip() []OutgoingPacket {
--- a/core/zymember/merge.go
+++ b/core/zymember/merge.go
@@ -13,6 +13,14 @@
 		t.mergeSuspectRequest(now, c)
 		return
 	}
+	if c.Departure != nil {
+		if t.cfg.OnDeparture != nil {
+			d := *c.Departure
+			d.Recorded = time.UnixMilli(c.Recorded)
+			t.cfg.OnDeparture(d)
+		}
+		return
+	}
 	id := c.Upstream.Node
 	if id == "" || c.Status < zinniayoke.MemberAlive || c.Status > zinniayoke.MemberLeft {
 		return
--- a/core/zymember/packet.go
+++ b/core/zymember/packet.go
@@ -8,6 +8,7 @@
 	"crypto/hmac"
 	"crypto/sha256"
 	"fmt"
+	"time"
 
 	"github.com/ugorji/go/codec"
 
@@ -78,6 +79,19 @@
 	Crashes int `codec:"r"`
 	// CrashesAlone counts those of them that ran nothing else.
 	CrashesAlone int `codec:"l"`
+	// Departure is the acknowledged departure of a worker. If it is set, no field of a member
+	// is. Nodes of earlier versions ignore it.
+	Departure *zinniayoke.Departure `codec:"d"`
+	// Recorded is when the departure was recorded, in Unix milliseconds.
+	Recorded int64 `codec:"m"`
+}
+
+// DepartureChange returns the change that reports the departure.
+func DepartureChange(d zinniayoke.Departure) Change {
+	c := Change{Recorded: d.Recorded.UnixMilli()}
+	d.Recorded = time.Time{}
+	c.Departure = &d
+	return c
 }
 
 // OutgoingPacket is a packet to send and its destination address.
@@ -164,7 +178,10 @@
 
 // maxEncodedSize returns an upper bound on the encoded size of a change in bytes.
 func maxEncodedSize(c Change) int {
-	const fixed = 46
+	const fixed = 56
 	u := c.Upstream
+	if d := c.Departure; d != nil {
+		return fixed + len(d.Host) + len(d.Instance)
+	}
 	return fixed + len(u.Node) + len(u.Locality.Domain) + len(u.Locality.Region) + len(u.PeerAddress) + len(u.Service)
 }
--- a/core/zymember/table.go
+++ b/core/zymember/table.go
@@ -20,6 +20,8 @@
 	// OnSuspectRequest is called with a change that reports a request suspected of
 	// crashing workers.
 	OnSuspectRequest func(now time.Time, c Change)
+	// OnDeparture is called with each reported departure.
+	OnDeparture func(d zinniayoke.Departure)
 }
 
 const (
@@ -140,6 +142,11 @@
 	t.enqueueBroadcast(c)
 }
 
+// BroadcastDeparture queues the departure of a worker for broadcast.
+func (t *Table) BroadcastDeparture(d zinniayoke.Departure) {
+	t.enqueueBroadcast(DepartureChange(d))
+}
+
 // Members returns all members in no particular order, including dead ones and those
 // that left.
 func (t *Table) Members() []Member {
--- a/io/zynode/departure.go
+++ b/io/zynode/departure.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,6 +17,8 @@
 	recallPeriod = 500 * time.Millisecond
 	// lateRecallPeriod is that interval once it is known without discovery.
 	lateRecallPeriod = 2 * time.Second
+	// incompleteRecallPeriod is that interval while the store may lack departures.
+	incompleteRecallPeriod = 10 * time.Second
 	// recordTimeout lets the acknowledgement of a departure reach the worker, which waits for a
 	// second.
 	recordTimeout = 800 * time.Millisecond
@@ -74,7 +78,11 @@
 	d.Host, d.Recorded = n.cfg.Settings.Host, time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
 	defer cancel()
-	if err := n.discovery.RecordDeparture(ctx, d); err != nil {
+	var pushed sync.WaitGroup
+	pushed.Go(func() { n.pushDeparture(ctx, d) })
+	err := n.discovery.RecordDepartures(ctx, d)
+	pushed.Wait()
+	if err != nil {
 		n.log.With("error", err).With("instance", d.Instance).Warn("The worker leaves. That could not be recorded, so it is not acknowledged.")
 		return &zinniayoke.DepartureError{Instance: d.Instance, Err: err}
 	}
@@ -83,18 +91,121 @@
 	return nil
 }
 
+// departurePeers is to how many nodes a departure is sent before it is acknowledged. All others
+// learn of it from these and by gossip.
+const departurePeers = 3
+
+// pushDeparture lets the other nodes keep the departure, for the case that the store comes back
+// from an older copy after this process has ended. It returns once one of them has it, or none
+// can be reached before ctx is done.
+func (n *Node) pushDeparture(ctx context.Context, d zinniayoke.Departure) {
+	if n.departureRecords.add(d) {
+		n.view.mu.Lock()
+		n.view.table.BroadcastDeparture(d)
+		n.view.mu.Unlock()
+		n.gossip.Gossip()
+	}
+	addresses := n.view.PeerAddresses()
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	addresses = addresses[:min(len(addresses), departurePeers)]
+	results := make(chan error, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			_, err := n.client.SyncMembers(ctx, address, n.syncArgs(zymember.DepartureChange(d)))
+			results <- err
+		}()
+	}
+	for range addresses {
+		if err := <-results; err == nil {
+			return
+		}
+	}
+	n.log.With("instance", d.Instance).Warn("The worker leaves. No other node could be told yet.")
+}
+
+// onDeparture keeps a departure that another node reports, and passes it on if it is new. One of
+// this host ends the run of the worker, if that goes on. The member list must be locked.
+func (n *Node) onDeparture(d zinniayoke.Departure) {
+	if !n.departureRecords.add(d) {
+		return
+	}
+	n.view.table.BroadcastDeparture(d)
+	if d.Host != n.cfg.Settings.Host {
+		return
+	}
+	go func() { // The member list must not be locked.
+		if n.receiver.Learn(d) {
+			n.updateSelf()
+		}
+	}()
+}
+
+// heldDepartures returns the departures of all hosts for a node that does not know them.
+func (n *Node) heldDepartures() []zymember.Change {
+	var changes []zymember.Change
+	for _, d := range n.departureRecords.list() {
+		changes = append(changes, zymember.DepartureChange(d))
+	}
+	return changes
+}
+
+// restoreDepartures records again what the store lacks since it came back from a copy, and then
+// confirms its era, so that a starting node can rely on the store alone. A node may do so if it
+// knows all departures itself.
+func (n *Node) restoreDepartures(registry zinniayoke.Registry) {
+	if !n.informed.Load() {
+		return
+	}
+	missing := n.departureRecords.missingIn(registry.Departures)
+	if len(missing) == 0 && registry.IsComplete() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), discoveryTimeout)
+	defer cancel()
+	var err error
+	if len(missing) > 0 {
+		err = n.discovery.RecordDepartures(ctx, missing...)
+	}
+	if err == nil && !registry.IsComplete() {
+		err = n.discovery.ConfirmEra(ctx, registry.Era)
+	}
+	if err != nil {
+		n.rejoinSoon.Store(true)
+		n.log.With("error", err).With("departures", len(missing)).Warn("Departures that the store lacks could not be recorded again.")
+		return
+	}
+	n.log.With("departures", len(missing)).With("era", registry.Era).Info("The store has all departures again.")
+}
+
+// recallFrom applies what the store knows of the worker's departures. If the store has come back
+// from a copy and may lack some, a node that knows no more goes by other nodes and heartbeats.
+func (n *Node) recallFrom(registry zinniayoke.Registry) {
+	for _, d := range registry.Departures {
+		n.departureRecords.add(d)
+	}
+	if !registry.IsComplete() && !n.informed.Load() {
+		n.receiver.Learn(n.ownDepartures(registry.Departures)...)
+		if n.recallWithoutDiscovery() {
+			n.setRecallPeriod(incompleteRecallPeriod)
+		}
+		return
+	}
+	n.informed.Store(true)
+	n.recall(append(registry.Departures, n.departureRecords.list()...))
+}
+
+// ownDepartures returns those departures of the list that are of this host.
+func (n *Node) ownDepartures(list []zinniayoke.Departure) []zinniayoke.Departure {
+	return slices.DeleteFunc(slices.Clone(list), func(d zinniayoke.Departure) bool { return d.Host != n.cfg.Settings.Host })
+}
+
 // recall applies the departures of this host that earlier processes of the node have recorded,
 // once.
 func (n *Node) recall(list []zinniayoke.Departure) {
 	if !n.recalled.CompareAndSwap(false, true) {
 		return
 	}
-	var own []zinniayoke.Departure
-	for _, d := range list {
-		if d.Host == n.cfg.Settings.Host {
-			own = append(own, d)
-		}
-	}
+	own := n.ownDepartures(list)
 	n.log.With("departures", len(own)).Info("The departures of the worker that earlier processes acknowledged are known.")
 	if n.receiver.Recall(own) {
 		n.updateSelf()
@@ -110,13 +221,18 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), discoveryTimeout)
 	defer cancel()
+	if !n.triedJoin.Load() {
+		return // Other nodes may know more than the store, and are asked first.
+	}
 	found, err := n.discovery.Find(ctx)
 	if err == nil {
-		n.recall(found.Departures)
+		n.recallFrom(found)
 		return
 	}
 	n.log.With("error", err).Debug("The departures of the worker cannot be read.")
-	n.recallWithoutDiscovery()
+	if n.recallWithoutDiscovery() {
+		n.setRecallPeriod(lateRecallPeriod)
+	}
 }
 
 // setRecallPeriod changes the interval of recallIfDue; 0 ends it.
@@ -131,15 +247,17 @@
 }
 
 // recallWithoutDiscovery lets the worker get calls, or not, by what other nodes and the worker
-// say, if that suffices. Discovery has the last word.
-func (n *Node) recallWithoutDiscovery() {
+// say, and reports whether that suffices. Discovery has the last word.
+func (n *Node) recallWithoutDiscovery() bool {
 	list, ok := n.recallFromOthers()
-	if !ok || n.recalled.Load() || !n.receiver.Recall(list) {
-		return
+	if !ok || n.recalled.Load() {
+		return ok
+	}
+	if n.receiver.Recall(append(list, n.ownDepartures(n.departureRecords.list())...)) {
+		n.log.With("departures", len(list)).Info("Discovery is unavailable. Whether the worker has left is known from other nodes or its heartbeats.")
+		n.updateSelf()
 	}
-	n.log.With("departures", len(list)).Info("Discovery is unavailable. Whether the worker has left is known from other nodes or its heartbeats.")
-	n.setRecallPeriod(lateRecallPeriod)
-	n.updateSelf()
+	return true
 }
 
 // recallFromOthers returns the departures of the worker as far as they are known without
--- a/io/zynode/discovery.go
+++ b/io/zynode/discovery.go
@@ -33,9 +33,19 @@
 	return d.append(ctx, memberRecord{Node: node, Peer: peer})
 }
 
-// RecordDeparture appends the departure to the member stream.
-func (d *logDiscovery) RecordDeparture(ctx context.Context, departure zinniayoke.Departure) error {
-	return d.append(ctx, memberRecord{Departure: &departure})
+// RecordDepartures appends the departures to the member stream.
+func (d *logDiscovery) RecordDepartures(ctx context.Context, list ...zinniayoke.Departure) error {
+	for _, departure := range list {
+		if err := d.append(ctx, memberRecord{Departure: &departure}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// ConfirmEra does nothing: the log has no eras.
+func (d *logDiscovery) ConfirmEra(context.Context, zinniayoke.StoreEra) error {
+	return nil
 }
 
 // DropDepartures does nothing: records expire with the log.
--- a/io/zynode/join.go
+++ b/io/zynode/join.go
@@ -67,8 +67,6 @@
 	registry, err := n.discovery.Find(ctx)
 	if err != nil {
 		n.log.With("error", err).Warn("Discovery of other nodes failed.")
-	} else {
-		n.recall(registry.Departures)
 	}
 	found := registry.Peers
 	unknown := n.unknownAddresses(append(slices.Clone(n.cfg.Settings.Seeds), found...))
@@ -77,13 +75,18 @@
 	if synced > 0 || len(unknown) == 0 && err == nil {
 		n.joined.Store(true)
 	}
-	if err != nil && !n.recalled.Load() {
+	n.triedJoin.Store(true)
+	switch {
+	case err == nil && !n.recalled.Load():
+		n.recallFrom(registry)
+	case !n.recalled.Load():
 		n.recallWithoutDiscovery()
 	}
 	if err == nil && !slices.Contains(found, n.peerAddress) && (synced == 0 || n.isReader()) {
 		n.announce()
 	}
 	if err == nil && n.isReader() {
+		n.restoreDepartures(registry)
 		n.dropOldDepartures(registry.Departures)
 	}
 }
@@ -197,11 +200,7 @@
 func (n *Node) syncWith(address string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), memberSyncTimeout)
 	defer cancel()
-	n.view.mu.Lock()
-	buckets := n.view.table.BucketHashes()
-	n.view.mu.Unlock()
-	self := n.localChange()
-	reply, err := n.client.SyncMembers(ctx, address, &zypeer.SyncArgs{Buckets: buckets, Self: self})
+	reply, err := n.client.SyncMembers(ctx, address, n.syncArgs(n.localChange()...))
 	if err != nil {
 		return false
 	}
@@ -219,9 +218,19 @@
 	}
 	n.view.mu.Unlock()
 	n.onMembershipChange()
+	if reply.Informed {
+		n.informed.Store(true)
+	}
 	return true
 }
 
+// syncArgs returns the arguments of a synchronization in which this node reports the changes.
+func (n *Node) syncArgs(changes ...zymember.Change) *zypeer.SyncArgs {
+	n.view.mu.Lock()
+	defer n.view.mu.Unlock()
+	return &zypeer.SyncArgs{Buckets: n.view.table.BucketHashes(), Self: changes, Uninformed: !n.informed.Load()}
+}
+
 // localChange returns the entry of this node as a list of one change.
 func (n *Node) localChange() []zymember.Change {
 	for _, m := range n.view.Members() {
--- a/io/zynode/node.go
+++ b/io/zynode/node.go
@@ -120,6 +120,13 @@
 	retryBudgets *zyattempt.ServiceRetryBudgets
 	leaving      atomic.Bool
 	departures   recordedDepartures
+	// departureRecords are the departures of the workers of all hosts, as far as known.
+	departureRecords departureRegistry
+	// informed is true once this process knows all departures that were acknowledged lately:
+	// none were before it, or the store or another node has told it.
+	informed atomic.Bool
+	// triedJoin is true once other nodes were asked for what they know.
+	triedJoin atomic.Bool
 	// recalled is true once the departures that earlier processes have recorded were read.
 	recalled           atomic.Bool
 	recallSubscription atomic.Pointer[zytimer.Subscription]
@@ -169,6 +176,7 @@
 	n := &Node{cfg: cfg, logWriter: lines, recorder: zylogger.NewEventLog(lines, lines.Dropped), logger: logger, log: logger.ForComponent("node"), started: time.Now()}
 	n.id = zinniayoke.NodeID(fmt.Sprintf("%s/%016x", cfg.Settings.Host, time.Now().UnixNano()))
 	n.settings.Store(cfg.Settings)
+	n.informed.Store(cfg.Settings.Bootstrap)
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
@@ -372,6 +380,10 @@
 	n.picker.Sweep(now)
 	n.updateSelf()
 	n.rejoinIfDue(now)
+	n.departureRecords.expire(now)
+	if now.Sub(n.started) > departureRetention {
+		n.informed.Store(true) // All runs that left before this process have ended.
+	}
 }
 
 // Addresses returns the addresses at which the ports of the node listen.
--- a/io/zynode/peer_service.go
+++ b/io/zynode/peer_service.go
@@ -66,12 +66,16 @@
 	changes := n.view.table.Diff(args.Buckets)
 	n.view.mu.Unlock()
 	changes = append(changes, n.suspects(time.Now())...)
+	informed := n.informed.Load() // Before the departures are read, which are then complete.
+	if args.Uninformed {
+		changes = append(changes, n.heldDepartures()...)
+	}
 	n.mergeChanges(args.Self)
 	packed, err := zymember.PackList(changes)
 	if err != nil {
 		n.log.With("error", err).Warn("The member list could not be encoded for a peer.")
 	}
-	return &zypeer.SyncReply{Packed: packed, Version: n.bundle.Version()}
+	return &zypeer.SyncReply{Packed: packed, Version: n.bundle.Version(), Informed: informed && err == nil}
 }
 
 // suspects returns the crash records that are still in force.
--- a/io/zynode/request_path.go
+++ b/io/zynode/request_path.go
@@ -42,6 +42,7 @@
 		ProbePeriod:   n.cfg.ProbePeriod,
 		DeadRetention: deadRetention,
 		Random:        rand.New(rand.NewPCG(seed, uint64(len(n.id)))),
+		OnDeparture:   n.onDeparture,
 		OnSuspectRequest: func(now time.Time, c zymember.Change) {
 			record := zyquarantine.CrashRecord{Fingerprint: zyquarantine.Fingerprint(c.Fingerprint), Crashes: c.Crashes, CrashesAlone: c.CrashesAlone}
 			if n.quarantine.Merge(now, record) {
--- a/io/zypeer/message.go
+++ b/io/zypeer/message.go
@@ -70,6 +70,8 @@
 	// Self is the sender's own entry, so that the receiver learns of a new node
 	// immediately.
 	Self []zymember.Change `codec:"s"`
+	// Uninformed asks for all departures of workers; see SyncReply.Informed.
+	Uninformed bool `codec:"u"`
 }
 
 // SyncReply holds the members in the parts that differ, encoded by zymember.PackList.
@@ -77,6 +79,9 @@
 	Packed []byte `codec:"p"`
 	// Version is the bundle version in force at the receiver.
 	Version zinniayoke.Version `codec:"v"`
+	// Informed is true if the receiver knows all departures of workers that were acknowledged
+	// lately. It sends them to a sender that does not.
+	Informed bool `codec:"i"`
 }
 
 // BundleArgs offers a bundle by its version, sends it as a lineage or a patch, or asks
--- a/platform.go
+++ b/platform.go
@@ -29,9 +29,12 @@
 type Discovery interface {
 	// Announce publishes this node's peer address.
 	Announce(ctx context.Context, id NodeID, peer string) error
-	// RecordDeparture publishes that a run of the worker on the host leaves. Once it has
-	// returned nil, all later calls of Find return the departure until it is dropped.
-	RecordDeparture(ctx context.Context, d Departure) error
+	// RecordDepartures publishes that runs of workers leave, all or none. Once it has returned
+	// nil, all later calls of Find return the departures until they are dropped, or until the
+	// store comes back from an older copy; see Registry.Era.
+	RecordDepartures(ctx context.Context, list ...Departure) error
+	// ConfirmEra publishes that what was lost when the era began has been recorded again.
+	ConfirmEra(ctx context.Context, era StoreEra) error
 	// DropDepartures removes departures that are no longer needed. An implementation may leave
 	// that to the expiry of its records.
 	DropDepartures(ctx context.Context, list []Departure) error
@@ -45,20 +48,31 @@
 	Peers []string
 	// Departures holds the recorded departures in no particular order.
 	Departures []Departure
+	// Era is the era of the store, 0 if it has none. An era after the first one begins when the
+	// store comes back from a copy, which lacks the latest records.
+	Era StoreEra
+	// Confirmed is the latest era that was confirmed; see Discovery.ConfirmEra.
+	Confirmed StoreEra
+}
+
+// IsComplete reports whether the registry holds all departures that were recorded, also in
+// earlier eras.
+func (r *Registry) IsComplete() bool {
+	return r.Confirmed >= r.Era
 }
 
 // Departure is the acknowledged announcement of a worker that one of its runs leaves.
 type Departure struct {
-	Host     string   `json:"host"`
-	Instance Instance `json:"instance"`
+	Host     string   `codec:"h" json:"host"`
+	Instance Instance `codec:"i" json:"instance"`
 	// Incarnation is that of the run, or an upper bound if the host's node has not known the
 	// run; 0 if there is neither.
-	Incarnation Incarnation `json:"incarnation,omitempty"`
+	Incarnation Incarnation `codec:"n" json:"incarnation,omitempty"`
 	// Sequence is that of the announcement. Later announcements of the run still count; 0 means
 	// that none does.
-	Sequence uint64 `json:"sequence,omitempty"`
+	Sequence uint64 `codec:"s" json:"sequence,omitempty"`
 	// Recorded is when the departure was recorded, by the clock of the host.
-	Recorded time.Time `json:"recorded"`
+	Recorded time.Time `codec:"-" json:"recorded"`
 }
 
 // Worker is the application process on the node's host that executes calls.
