io/zyexchange: one strict reader of answers, and one budget for their bytes

Callers saw: a part of an answer as the whole one, where a worker answered a long upload at once without a length and reset the connection. Answers with status 000 or odd field names were passed on by systems of this kind.

Of each answer up to 1 MiB was held outside of any budget.

A body that ends with its connection counts only if the request was written without an error. Bodies are counted in core/zybudget before they are allocated, over all connections; the one that stalls, or the largest one, gives way.

Evidence: TestInvalidAnswerIsPassedOn and TestAnswerCutAtAReset failed on (9 heads; the part was passed on within 50 tries) and pass. TestEndlessBytes and the other tests of workers pass.

--- a/core/zysettings/settings.go
+++ b/core/zysettings/settings.go
@@ -35,6 +35,8 @@
 	Worker       Worker
 	// MemoryLimit is the memory limit of the process, or 0 for none.
 	MemoryLimit zinniayoke.Bytes
+	// HeldLimit is how many bytes of requests and responses the process may hold.
+	HeldLimit zinniayoke.Bytes
 	// Threads is how many threads execute the program at the same time, or 0 for the default
 	// of the Go runtime.
 	Threads            int
@@ -119,8 +121,14 @@
 	minMemoryLimit   = 32 * zinniayoke.MiB
 	maxMemoryLimit   = 64 * 1024 * zinniayoke.MiB
 	maxThreads       = 1024
-	maxRetryRatio    = 100
-	maxRetrySlack    = 1_000_000
+	minHeldLimit     = zinniayoke.MiB
+	defaultHeldLimit = 256 * zinniayoke.MiB
+	// heldPercent is the part of the memory limit for requests and responses if the settings do
+	// not say. It is enough for one body of 64 MiB on hosts with 184 MiB.
+	heldPercent   = 40
+	percent       = 100
+	maxRetryRatio = 100
+	maxRetrySlack = 1_000_000
 	// The bounds of customers' limits for deployments whose settings have none.
 	defaultQuotaWindow  = 5 * time.Second
 	defaultQuotaOverage = 0.1
@@ -137,6 +145,7 @@
 		Logging:        Logging{Level: "info", Format: "text"},
 		Genesis:        Genesis{Approvals: 1, Approvers: make(map[string]ed25519.PublicKey)},
 		Shutdown:       Shutdown{Grace: defaultGrace},
+		HeldLimit:      defaultHeldLimit,
 		CustomerLimits: CustomerLimits{Window: defaultQuotaWindow, Overage: defaultQuotaOverage, Slack: defaultQuotaSlack},
 	}
 	present := map[string]bool{"node": false, "listen": false, "peers": false}
@@ -198,6 +207,7 @@
 		s.Worker.Drain = zyini.Get(section, "drain", zyini.Duration(0, maxDuration), 0)
 	case "memory":
 		s.MemoryLimit = zyini.Require(section, "limit", zyini.Size(minMemoryLimit, maxMemoryLimit))
+		s.HeldLimit = zyini.Get(section, "held", zyini.Size(minHeldLimit, maxMemoryLimit), s.MemoryLimit*heldPercent/percent)
 	case "processor":
 		s.Threads = zyini.Require(section, "threads", zyini.Integer(1, maxThreads))
 	case "retry":
--- a/io/zynode/adapters.go
+++ b/io/zynode/adapters.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"zinniayoke"
+	"zinniayoke/core/zybudget"
 	"zinniayoke/core/zybundle"
 	"zinniayoke/core/zyingress"
 	"zinniayoke/core/zysettings"
@@ -31,6 +32,9 @@
 	// through the shared log.
 	BundleSource BundleSource
 	Discovery    zinniayoke.Discovery
+	// Budget counts the requests and responses that the process holds. The default has the limit
+	// of the settings.
+	Budget *zybudget.Budget
 	// Reload applies changed settings to the adapters; nil if none of them can change.
 	Reload func(s *zysettings.Settings)
 	// ReadyPath is a path of the admin port that reports readiness, in addition to
@@ -44,6 +48,8 @@
 	Bundle func() *zybundle.Bundle
 	// Leaving reports whether the node is stopping.
 	Leaving func() bool
+	// Budget counts the bodies of requests and responses.
+	Budget *zybudget.Budget
 	// Service returns the service that runs on the host now.
 	Service func() zinniayoke.Service
 }
@@ -74,9 +80,12 @@
 
 // setDefaults sets the default implementations of nil fields.
 func (e *Adapters) setDefaults(n *Node) {
+	if e.Budget == nil {
+		e.Budget = zybudget.New(int64(n.cfg.Settings.HeldLimit))
+	}
 	if e.CallerHandler == nil {
 		e.CallerHandler = func(c CallerHandlerConfig) http.Handler {
-			return zyweb.NewCallerHandler(zyweb.CallerConfig{Entry: c.Entry, Bundle: c.Bundle})
+			return zyweb.NewCallerHandler(zyweb.CallerConfig{Entry: c.Entry, Bundle: c.Bundle, Budget: c.Budget})
 		}
 	}
 	if e.UpstreamHandler == nil {
@@ -86,7 +95,7 @@
 	}
 	if e.NewWorker == nil {
 		e.NewWorker = func(a zyingress.Announcement) zinniayoke.Worker {
-			return zyworker.New(zyworker.Config{Address: a.Address, MaxConnections: a.Connections})
+			return zyworker.New(zyworker.Config{Address: a.Address, MaxConnections: a.Connections, Budget: e.Budget})
 		}
 	}
 	if e.BundleSource == nil {
--- a/io/zynode/node.go
+++ b/io/zynode/node.go
@@ -235,7 +235,7 @@
 	}
 	n.server = server
 	n.httpServers = []*http.Server{
-		newHTTPServer(n.cfg.Adapters.CallerHandler(CallerHandlerConfig{Entry: n.entry, Bundle: n.bundle.Current, Leaving: n.leaving.Load, Service: n.receiver.Service})),
+		newHTTPServer(n.cfg.Adapters.CallerHandler(CallerHandlerConfig{Entry: n.entry, Bundle: n.bundle.Current, Leaving: n.leaving.Load, Service: n.receiver.Service, Budget: n.cfg.Adapters.Budget})),
 		newHTTPServer(n.cfg.Adapters.UpstreamHandler(n.handleAnnouncement)),
 		newHTTPServer(zyweb.NewAdminHandler(zyweb.AdminConfig{
 			Registry: n.registry, Ready: n.Ready, State: func() any { return n.State() }, Where: http.HandlerFunc(n.serveWhere), SetLevel: n.logger.SetLevel,
--- a/io/zyweb/caller.go
+++ b/io/zyweb/caller.go
@@ -17,6 +17,7 @@
 	"github.com/gin-gonic/gin"
 
 	"zinniayoke"
+	"zinniayoke/core/zybudget"
 	"zinniayoke/core/zybundle"
 	"zinniayoke/core/zyentry"
 	"zinniayoke/io/zyworker"
@@ -40,6 +41,8 @@
 type CallerConfig struct {
 	Entry  CallHandler
 	Bundle func() *zybundle.Bundle
+	// Budget counts the bodies of requests and responses; nil sets no limit.
+	Budget *zybudget.Budget
 }
 
 const (
--- a/io/zyworker/worker.go
+++ b/io/zyworker/worker.go
@@ -2,21 +2,19 @@
 package zyworker
 
 import (
-	"bytes"
 	"context"
+	"errors"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"zinniayoke"
+	"zinniayoke/core/zybudget"
 	"zinniayoke/core/zynotice"
+	"zinniayoke/io/zyexchange"
 )
 
 // Config configures a Worker.
@@ -25,11 +23,12 @@
 	Address string
 	// MaxConnections is the maximum number of connections to the worker.
 	MaxConnections int
+	// Budget counts the bodies that are being read; nil sets no limit.
+	Budget *zybudget.Budget
 }
 
 const (
 	dialTimeout     = 300 * time.Millisecond
-	idleTimeout     = 5 * time.Second
 	maxResponseSize = 16 << 20
 )
 
@@ -54,20 +53,20 @@
 
 // Worker implements zinniayoke.Worker over HTTP. A Worker must be created with New.
 type Worker struct {
-	cfg       Config
-	transport *http.Transport
+	cfg  Config
+	pool *zyexchange.Pool
+	// open has an element for each connection in use.
+	open chan struct{}
 }
 
 // New returns a Worker that connects on the first call.
 func New(cfg Config) *Worker {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Worker{cfg: cfg, transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxConnsPerHost:     cfg.MaxConnections,
-		MaxIdleConnsPerHost: cfg.MaxConnections,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-	}}
+	return &Worker{
+		cfg: cfg, open: make(chan struct{}, max(cfg.MaxConnections, 1)),
+		pool: zyexchange.NewPool(cfg.Address, zyexchange.PoolConfig{
+			Conn: zyexchange.Config{Budget: cfg.Budget, MaxBody: maxResponseSize}, DialTimeout: dialTimeout,
+		}),
+	}
 }
 
 // ResponseTooLargeError means that the body of a response exceeds Limit bytes.
@@ -81,73 +80,52 @@
 }
 
 // Run sends the call to the worker and returns its complete response. The second result
-// reports whether the call was delivered: a connection was available, so that the worker
-// may have received it even if an error is returned.
+// reports whether the call was delivered: the worker may have received it even if an error is
+// returned.
 //
 // The text of the error becomes the detail of a reply and so reaches callers: the
-// messages of Run, newRequest and ResponseTooLargeError must not change.
+// messages of Run and ResponseTooLargeError must not change.
 func (w *Worker) Run(ctx context.Context, call *zinniayoke.WorkerCall) (*zinniayoke.Response, bool, error) {
-	var delivered atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { delivered.Store(true) }}
-	req, err := w.newRequest(httptrace.WithClientTrace(ctx, trace), call)
-	if err != nil {
-		return nil, false, err
+	select {
+	case w.open <- struct{}{}:
+		defer func() { <-w.open }()
+	case <-ctx.Done():
+		return nil, false, fmt.Errorf("worker: %w", context.Cause(ctx))
 	}
-	resp, err := w.transport.RoundTrip(req)
-	if err != nil {
-		return nil, delivered.Load(), fmt.Errorf("worker: %w", err)
+	resp, delivered, err := w.pool.Do(ctx, w.request(call))
+	switch {
+	case errors.Is(err, zybudget.ErrTooLarge):
+		return nil, true, &ResponseTooLargeError{Limit: maxResponseSize}
+	case err != nil:
+		return nil, delivered, fmt.Errorf("worker: %w", err)
 	}
-	defer func() { _ = resp.Body.Close() }()
 	if call.OnNotice != nil {
 		call.OnNotice(zynotice.Parse(resp.Header.Get(RateLimitHeader), resp.Header.Get(LeavingHeader)))
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseSize+1))
-	if err != nil {
-		return nil, true, fmt.Errorf("answer of the worker: %w", err)
-	}
-	if len(body) > maxResponseSize {
-		return nil, true, &ResponseTooLargeError{Limit: maxResponseSize}
-	}
-	return &zinniayoke.Response{Status: resp.StatusCode, Headers: ForwardedHeaders(resp.Header), Body: body}, true, nil
+	return &zinniayoke.Response{Status: resp.Status, Headers: ForwardedHeaders(resp.Header), Body: resp.Body}, true, nil
 }
 
-func (w *Worker) newRequest(ctx context.Context, call *zinniayoke.WorkerCall) (*http.Request, error) {
+func (w *Worker) request(call *zinniayoke.WorkerCall) *zyexchange.Request {
 	a := call.Attempt
-	target := &url.URL{Scheme: "http", Host: w.cfg.Address, Path: a.Path, RawQuery: a.Query}
-	req, err := http.NewRequestWithContext(ctx, a.Method, target.String(), singleUseBody{bytes.NewReader(a.Body)})
-	if err != nil {
-		return nil, fmt.Errorf("call for the worker: %w", err)
-	}
-	req.ContentLength = int64(len(a.Body))
-	for _, h := range a.Headers {
-		req.Header.Add(h.Name, h.Value)
+	target := url.URL{Path: a.Path, RawQuery: a.Query}
+	h := make(http.Header, len(a.Headers))
+	for _, field := range a.Headers {
+		h.Add(field.Name, field.Value)
 	}
-	req.Header.Set(ContextHeader, call.Context)
-	req.Header.Set(TimeoutHeader, strconv.FormatInt(call.Timeout.Milliseconds(), 10))
+	h.Set(ContextHeader, call.Context)
+	h.Set(TimeoutHeader, strconv.FormatInt(call.Timeout.Milliseconds(), 10))
 	if a.Customer != "" {
-		req.Header.Set(CustomerHeader, string(a.Customer))
+		h.Set(CustomerHeader, string(a.Customer))
 	}
 	if a.Key != "" {
-		req.Header.Set(KeyHeader, fmt.Sprintf("%x", string(a.Key)))
+		h.Set(KeyHeader, fmt.Sprintf("%x", string(a.Key)))
 	}
-	return req, nil
-}
-
-// singleUseBody is a request body that the HTTP transport cannot rewind, so that it
-// never resends a request on its own.
-type singleUseBody struct {
-	io.Reader
-}
-
-// Close implements io.Closer and does nothing.
-func (singleUseBody) Close() error {
-	return nil
+	return &zyexchange.Request{Method: a.Method, Target: target.RequestURI(), Host: w.cfg.Address, Header: h, Body: a.Body}
 }
 
 // Probe returns an error if the worker accepts no connections.
 func (w *Worker) Probe(ctx context.Context) error {
-	d := net.Dialer{}
-	conn, err := d.DialContext(ctx, "tcp", w.cfg.Address)
+	conn, err := w.pool.Open(ctx)
 	if err != nil {
 		return fmt.Errorf("probe worker %s: %w", w.cfg.Address, err)
 	}
@@ -157,7 +135,7 @@
 
 // Close closes the idle connections.
 func (w *Worker) Close() {
-	w.transport.CloseIdleConnections()
+	w.pool.Close()
 }
 
 // ForwardedHeaders returns the headers that are forwarded between callers and workers:
