io/zylistener, io/zyweb: clients that keep to no limit do not end a process

Callers saw: the process ran out of memory, and their requests ended with it.

Cause: each buffer had its own limit, and nothing limited their number. A head could have 1 MiB, bodies were held as long as their connections were open, and connections were limited by the descriptors alone.

Change: bodies of requests and answers, also those that clients read slowly, are counted in the one budget. When it is used up, a body that stalls or the largest one gives way, with 503; it waits for the bytes to be free. Heads keep to the limit of the bundle, and connections to a part of memory and descriptors. A body has the time that its client waits. The heap may use half of the limit.

--- a/cmd/zinniayoke/node.go
+++ b/cmd/zinniayoke/node.go
@@ -33,9 +33,10 @@
 
 const (
 	percent = 100
-	// heapPercent is the part of the memory limit that the Go heap may use. The rest
-	// is for socket buffers, which count as memory of the process too.
-	heapPercent = 60
+	// heapPercent is the part of the memory limit that the Go heap may use. The rest is for socket
+	// buffers and the program itself, which count as memory of the process too, and for what is
+	// allocated while garbage is collected.
+	heapPercent = 50
 )
 
 func runNode(ctx context.Context, c *cli.Command) error {
--- a/core/zybudget/budget.go
+++ b/core/zybudget/budget.go
@@ -16,6 +16,8 @@
 	smallShare = 16
 	// listedSize is from which size a holder may have to give way.
 	listedSize = 4 << 10
+	// yieldTime is how long a holder waits for the bytes of others that give way.
+	yieldTime = 500 * time.Millisecond
 	// stallTime is after which time without progress a holder gives way to any other.
 	stallTime = 2 * time.Second
 )
@@ -33,13 +35,18 @@
 	mu    sync.Mutex
 	limit int64
 	used  int64
+	// yielding is how many of the bytes belong to holders that give way and have not released
+	// them yet.
+	yielding int64
 	// listed are the holders that can give way.
 	listed map[*Holder]struct{}
+	// released is closed and replaced when bytes are released.
+	released chan struct{}
 }
 
 // New returns a budget of limit bytes; 0 sets no limit.
 func New(limit int64) *Budget {
-	return &Budget{limit: limit, listed: make(map[*Holder]struct{})}
+	return &Budget{limit: limit, listed: make(map[*Holder]struct{}), released: make(chan struct{})}
 }
 
 // Used returns how many bytes are held.
@@ -62,6 +69,11 @@
 	return b.limit
 }
 
+// Exhausted reports whether more bytes are held than the limit.
+func (b *Budget) Exhausted() bool {
+	return b != nil && b.Limit() > 0 && b.Used() > b.Limit()
+}
+
 // SetLimit changes how many bytes may be held. Those that are held already stay.
 func (b *Budget) SetLimit(limit int64) {
 	b.mu.Lock()
@@ -90,40 +102,59 @@
 	evicted  bool
 }
 
-// Grow counts n more bytes, which are about to be allocated. The error is ErrExhausted or
-// ErrEvicted.
+// Grow counts n more bytes, which are about to be allocated. If others have to give way, it waits
+// until they have released their bytes. The error is ErrExhausted or ErrEvicted.
 func (h *Holder) Grow(now time.Time, n int64) error {
 	b := h.budget
 	if b == nil {
 		return nil
 	}
+	var timeout <-chan time.Time
+	for {
+		victim, released, err := b.tryGrow(now, h, n)
+		if err != nil || victim == nil && released == nil {
+			return err
+		}
+		if victim != nil {
+			victim.yield()
+			continue
+		}
+		if timeout == nil {
+			timeout = time.After(yieldTime)
+		}
+		select {
+		case <-released:
+		case <-timeout:
+			return ErrExhausted
+		}
+	}
+}
+
+// tryGrow counts n more bytes for the holder if there is room. If not, it returns a holder that has
+// to give way now, or the channel that is closed when bytes are released.
+func (b *Budget) tryGrow(now time.Time, h *Holder, n int64) (*Holder, <-chan struct{}, error) {
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	if h.evicted {
-		b.mu.Unlock()
-		return ErrEvicted
+		return nil, nil, ErrEvicted
 	}
 	h.progress = now
-	var victims []*Holder
-	for b.used+n > b.limitFor(h.size+n) {
-		v := b.victim(now, h, h.size+n)
-		if v == nil {
-			break
-		}
-		b.evict(v)
-		victims = append(victims, v)
-	}
-	fits := b.used+n <= b.limitFor(h.size+n)
-	if fits {
+	limit := b.limitFor(h.size + n)
+	if b.used+n <= limit {
 		b.add(h, n)
+		return nil, nil, nil
 	}
-	b.mu.Unlock()
-	for _, v := range victims {
-		v.yield()
+	if b.used-b.yielding+n <= limit {
+		return nil, b.released, nil
 	}
-	if !fits {
-		return ErrExhausted
+	v := b.victim(now, h, h.size+n)
+	if v == nil {
+		return nil, nil, ErrExhausted
 	}
-	return nil
+	v.evicted = true
+	b.yielding += v.size
+	delete(b.listed, v)
+	return v, nil, nil
 }
 
 // growIfFree counts n more bytes if nobody has to give way.
@@ -150,10 +181,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !h.evicted {
-		b.used -= n
-		h.size -= n
-	}
+	b.free(h, n)
 }
 
 // Progress records that bytes were transferred.
@@ -167,6 +195,20 @@
 	h.progress = now
 }
 
+// Add counts n more bytes whatever the limit, since they are there already.
+func (h *Holder) Add(now time.Time, n int64) {
+	b := h.budget
+	if b == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !h.evicted {
+		h.progress = now
+		b.add(h, n)
+	}
+}
+
 // Pin counts n more bytes whatever the limit, since they are there already, and keeps the holder
 // from giving way: its bytes are complete.
 func (h *Holder) Pin(n int64) error {
@@ -194,8 +236,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.used -= h.size
-	h.size = 0
+	b.free(h, h.size)
 	delete(b.listed, h)
 }
 
@@ -219,6 +260,19 @@
 	}
 }
 
+// free counts n bytes less. b.mu must be held.
+func (b *Budget) free(h *Holder, n int64) {
+	b.used -= n
+	h.size -= n
+	if h.evicted {
+		b.yielding -= n
+	}
+	if n > 0 {
+		close(b.released)
+		b.released = make(chan struct{})
+	}
+}
+
 // limitFor returns the limit for a holder of the size. b.mu must be held.
 func (b *Budget) limitFor(size int64) int64 {
 	switch {
@@ -251,11 +305,3 @@
 	}
 	return largest
 }
-
-// evict takes its bytes from a holder. b.mu must be held.
-func (b *Budget) evict(h *Holder) {
-	h.evicted = true
-	b.used -= h.size
-	h.size = 0
-	delete(b.listed, h)
-}
--- a/core/zybudget/budget_test.go
+++ b/core/zybudget/budget_test.go
@@ -38,7 +38,11 @@
 		var holders []*zybudget.Holder
 		var err error
 		for i, size := range c.sizes {
-			h := b.Hold(func() { evicted = i })
+			var h *zybudget.Holder
+			h = b.Hold(func() {
+				evicted = i
+				time.AfterFunc(time.Millisecond, h.Release)
+			})
 			holders = append(holders, h)
 			err = h.Grow(now.Add(time.Duration(i)*900*time.Millisecond), size)
 			if i < c.pinned {
--- a/io/zynode/node.go
+++ b/io/zynode/node.go
@@ -34,6 +34,7 @@
 	"zinniayoke/core/zytimer"
 	"zinniayoke/core/zywhere"
 	"zinniayoke/io/zygossip"
+	"zinniayoke/io/zylistener"
 	"zinniayoke/io/zylogger"
 	"zinniayoke/io/zymetric"
 	"zinniayoke/io/zypeer"
@@ -229,7 +230,7 @@
 		distributor: n.distributor, logger: n.logger.ForComponent("log"),
 	}
 	n.bundle.changed = n.onBundleChange
-	server, err := zypeer.NewServer(zypeer.ServerConfig{Listener: n.listeners.peer, Key: s.PeerKey, Service: &peerService{node: n}})
+	server, err := zypeer.NewServer(zypeer.ServerConfig{Listener: n.listeners.peer, Key: s.PeerKey, Service: &peerService{node: n}, Budget: n.cfg.Adapters.Budget})
 	if err != nil {
 		return fmt.Errorf("create peer server on %s: %w", n.peerAddress, err)
 	}
@@ -282,8 +283,9 @@
 		OnChange: n.onMembershipChange,
 	})
 	n.startReader()
+	limits := n.connectionLimits()
 	for i, listener := range []net.Listener{n.listeners.caller, n.listeners.upstream, n.listeners.admin} {
-		go n.serve(n.httpServers[i], listener)
+		go n.serve(n.httpServers[i], zylistener.New(listener, limits[i]))
 	}
 	n.findWorker()
 	n.recallSubscription.Store(n.timer.Every(recallPeriod, n.recallIfDue))
@@ -297,7 +299,8 @@
 	return nil
 }
 
-func (n *Node) serve(server *http.Server, listener net.Listener) {
+func (n *Node) serve(server *http.Server, listener *zylistener.Listener) {
+	listener.Attach(server)
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		n.log.With("error", err).Warn("A listener has failed.")
 	}
--- a/io/zypeer/frame_server.go
+++ b/io/zypeer/frame_server.go
@@ -11,6 +11,7 @@
 	"github.com/ugorji/go/codec"
 
 	"zinniayoke"
+	"zinniayoke/core/zybudget"
 )
 
 // maxIdleRunners is how many goroutines wait for the next attempt. A new goroutine begins with
@@ -18,6 +19,9 @@
 // time of a call.
 const maxIdleRunners = 256
 
+// largeAttempt is from which size of its body an attempt is refused while the budget is exhausted.
+const largeAttempt = 64 << 10
+
 // frameServer serves the requests on a connection with protocolFrames. Attempts are run
 // directly; the other methods, which are rare, go through net/rpc.
 type frameServer struct {
@@ -34,6 +38,8 @@
 	conn    *frameServer
 	seq     uint64
 	attempt zinniayoke.Attempt
+	// held has the bytes of the attempt and of its reply.
+	held *zybudget.Holder
 }
 
 // serveFrames handles requests until the connection fails. It returns when all replies have been
@@ -63,11 +69,19 @@
 // startRun decodes the attempt of the current frame and runs it in another goroutine.
 func (c *frameServer) startRun(seq uint64) {
 	c.server.addPendingReplies(1)
-	r := &run{conn: c, seq: seq}
+	r := &run{conn: c, seq: seq, held: c.server.cfg.Budget.Hold(nil)}
 	if err := c.frames.ReadRequestBody(&r.attempt); err != nil {
 		r.reply(err.Error(), nil)
 		return
 	}
+	_ = r.held.Pin(int64(len(r.attempt.Body))) // A holder that has never been listed is not evicted.
+	if len(r.attempt.Body) > largeAttempt && c.server.cfg.Budget.Exhausted() {
+		r.reply("", &zinniayoke.Reply{
+			Attempt: r.attempt.ID, Request: r.attempt.Request, Reason: zinniayoke.ReasonShed, Outcome: zinniayoke.OutcomeNotRun,
+			Detail: "the node of the worker has no memory left for the body",
+		})
+		return
+	}
 	select {
 	case c.server.runs <- r:
 	default:
@@ -92,6 +106,10 @@
 // reply writes the reply to the attempt, which is then no longer pending. An error of the
 // connection is seen by its reader.
 func (r *run) reply(problem string, reply *zinniayoke.Reply) {
+	defer r.held.Release()
+	if reply != nil && reply.Response != nil {
+		_ = r.held.Pin(int64(len(reply.Response.Body)))
+	}
 	_ = r.conn.write(&rpc.Response{ServiceMethod: runMethod, Seq: r.seq, Error: problem}, reply)
 	r.conn.server.addPendingReplies(-1)
 	r.conn.calls.Done()
--- a/io/zypeer/server.go
+++ b/io/zypeer/server.go
@@ -13,6 +13,7 @@
 	"github.com/ugorji/go/codec"
 
 	"zinniayoke"
+	"zinniayoke/core/zybudget"
 	"zinniayoke/core/zykeyowner"
 )
 
@@ -39,6 +40,8 @@
 	// Key is the secret that all nodes share.
 	Key     []byte
 	Service Service
+	// Budget counts the attempts that have arrived and their replies; nil sets no limit.
+	Budget *zybudget.Budget
 }
 
 const (
--- a/io/zyweb/caller.go
+++ b/io/zyweb/caller.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"math"
 	"net"
 	"net/http"
@@ -67,7 +66,8 @@
 }
 
 func (p *callerHandler) call(c *gin.Context) {
-	in, err := parseCall(c)
+	in, holder, err := p.parseCall(c)
+	defer holder.Release()
 	if err != nil && p.cfg.Bundle != nil && p.cfg.Bundle() == nil {
 		err = zinniayoke.NewRefusedError(zinniayoke.ReasonNotReady, "no bundle is in force here yet")
 	}
@@ -90,26 +90,24 @@
 	}
 	c.Status(reply.Response.Status)
 	h.Set("Content-Length", strconv.Itoa(len(reply.Response.Body)))
-	_, _ = c.Writer.Write(reply.Response.Body)
+	WriteBody(c.Writer, reply.Response.Body, p.cfg.Budget)
 }
 
-// parseCall reads the headers and the body of a call. The error is a
-// *zinniayoke.CallError.
-func parseCall(c *gin.Context) (*zyentry.Inbound, error) {
+// parseCall reads the headers and the body of a call, whose bytes the holder has until it is
+// released. The error is a *zinniayoke.CallError.
+func (p *callerHandler) parseCall(c *gin.Context) (*zyentry.Inbound, *zybudget.Holder, error) {
+	none := p.cfg.Budget.Hold(nil)
 	timeout, err := parseTimeout(c.GetHeader(zyworker.TimeoutHeader))
 	if err != nil {
-		return nil, err
+		return nil, none, err
 	}
 	token, err := parseToken(c.Request.Header.Values("Authorization"))
 	if err != nil {
-		return nil, err
+		return nil, none, err
 	}
-	body, err := io.ReadAll(io.LimitReader(c.Request.Body, maxBodySize+1))
+	body, holder, err := ReadBody(c.Writer, c.Request, BodyConfig{Limit: maxBodySize, Budget: p.cfg.Budget, Timeout: timeout})
 	if err != nil {
-		return nil, zinniayoke.NewRefusedError(zinniayoke.ReasonMalformed, "the body could not be read")
-	}
-	if len(body) > maxBodySize {
-		return nil, zinniayoke.NewRefusedError(zinniayoke.ReasonTooLarge, "the body is too large")
+		return nil, holder, err
 	}
 	r := c.Request.Clone(c.Request.Context())
 	service, host := zinniayoke.Service(c.Param("service")), ""
@@ -124,7 +122,7 @@
 		Context: c.GetHeader(zyworker.ContextHeader), Timeout: timeout,
 		Service: service, Host: host, HTTP: r,
 		Headers: zyworker.ForwardedHeaders(r.Header), Body: body,
-	}, nil
+	}, holder, nil
 }
 
 // hostName removes the port from the value of a Host header.
