core/zyingress: a host may have more than sixteen departures

Cause: a process kept the last 16 of the departures that it read, in no order of time. Change: it keeps 4,096, those of one host within an hour.

--- a/core/zyingress/departure.go
+++ b/core/zyingress/departure.go
@@ -7,8 +7,9 @@
 	"zinniayoke"
 )
 
-// maxDepartures limits the departures of runs that this process has not seen.
-const maxDepartures = 16
+// maxDepartures limits the departures of runs that this process has not seen. They are those of
+// one host within an hour.
+const maxDepartures = 4096
 
 // Departure returns what must be recorded before the announcement is acknowledged, so that it
 // binds later processes of the node as well. ok is false if the announcement does not say that
--- a/core/zyingress/departure_test.go
+++ b/core/zyingress/departure_test.go
@@ -1,6 +1,8 @@
 package zyingress_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,6 +26,10 @@
 	final := zinniayoke.Departure{Instance: "i", Incarnation: 5}
 	left := zinniayoke.Departure{Instance: "i", Incarnation: 5, Sequence: 9}
 	unnamed := zinniayoke.Departure{Incarnation: 5} // Other nodes know no instance.
+	var others []zinniayoke.Departure               // Of runs that have left before or since.
+	for i := range 1000 {
+		others = append(others, zinniayoke.Departure{Instance: zinniayoke.Instance(fmt.Sprint("other", i)), Incarnation: zinniayoke.Incarnation(i + 1)})
+	}
 	for _, c := range []struct {
 		name       string
 		before     []zyingress.Announcement
@@ -48,6 +54,8 @@
 		{"from other nodes", []zyingress.Announcement{announcement(5, 7, serving)}, []zinniayoke.Departure{unnamed}, nil, draining},
 		{"from other nodes, later run", []zyingress.Announcement{announcement(6, 7, serving)}, []zinniayoke.Departure{unnamed}, nil, serving},
 		{"another instance", nil, []zinniayoke.Departure{{Instance: "j", Incarnation: 9}}, []zyingress.Announcement{announcement(5, 1, serving)}, serving},
+		{"many others after it", nil, append([]zinniayoke.Departure{final}, others...), []zyingress.Announcement{announcement(5, 7, serving), announcement(5, 8, serving)}, draining},
+		{"many others before it", nil, append(slices.Clone(others), final), []zyingress.Announcement{announcement(5, 7, serving), announcement(5, 8, serving)}, draining},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			h := newHarnessWithoutWorker(func(cfg *zyingress.Config) { cfg.AwaitRecall = true })
