io/zynode, io/zylistener: bounds for a join that hangs, and one answer to a head over the limit

Callers would see: a worker that is idle for up to 4 s after a restart of its node in a large deployment, since the departures were applied only after all attempts to reach other nodes; and a 400 behind the 431 to a head over the limit.

Change: the departures of the store are applied after one timeout at most. net/http adds no response of its own to the error of the connection.

--- a/cmd/zinniayoke/hostile_test.go
+++ b/cmd/zinniayoke/hostile_test.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -32,7 +33,7 @@
 	hostileConfig   = `{"version":1,"routes":{
 "book":{"host":"h.example","pathPrefix":"/book/","kind":"unsafe","timeoutMs":20000,"targetLatencyMs":10000,"priority":0,"service":"s","attempts":1}},
 "services":{"s":{"healthPath":"/health","maxConns":100}},
-"limits":{"maxHeaderBytes":16384,"maxBodyBytes":8388608,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":%d,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
 )
 
 // hostileNode is a node in a process of its own, with few descriptors and little memory, and the
@@ -41,6 +42,7 @@
 	t       *testing.T
 	cmd     *exec.Cmd
 	exited  chan error
+	memory  int // in bytes
 	caller  string
 	control string
 	worker  *zyfake.Worker
@@ -58,17 +60,18 @@
 	return l.Addr().String()
 }
 
-func startHostileNode(t *testing.T) *hostileNode {
+// startHostileNode starts a node with the limits of its memory and of a body in MiB.
+func startHostileNode(t *testing.T, memory, body int) *hostileNode {
 	t.Helper()
 	store := &zyfake.Store{}
-	store.Put("keyed.op", "config", []byte(hostileConfig))
+	store.Put("keyed.op", "config", fmt.Appendf(nil, hostileConfig, body<<20))
 	server := httptest.NewServer(store)
 	worker, err := zyfake.NewWorker("i-1")
 	if err != nil {
 		t.Fatal(err)
 	}
-	n := &hostileNode{t: t, exited: make(chan error, 1), caller: freeAddress(t), control: freeAddress(t), worker: worker}
-	text := nodeSettings + "s\nheartbeat = 10s\n[memory]\nlimit = 128MiB\n[processor]\nthreads = 2\n[logging]\nlevel = error\n"
+	n := &hostileNode{t: t, memory: memory << 20, exited: make(chan error, 1), caller: freeAddress(t), control: freeAddress(t), worker: worker}
+	text := nodeSettings + fmt.Sprintf("s\nheartbeat = 10s\n[memory]\nlimit = %dMiB\n", memory) + "[processor]\nthreads = 2\n[logging]\nlevel = error\n"
 	text = strings.Replace(text, "host = h\n", "host = h\nbootstrap = true\n", 1)
 	for pattern, address := range map[string]string{
 		`caller = .*`: "caller = " + n.caller, `upstream = .*`: "upstream = " + n.control, `(peer|admin) = .*`: "$1 = 127.0.0.1:0",
@@ -149,8 +152,8 @@
 	if err != nil {
 		n.t.Fatal(err)
 	}
-	if peak<<10 > hostileMemory {
-		n.t.Errorf("the process took up to %d KiB, the machine has %d", peak, hostileMemory>>10)
+	if peak<<10 > n.memory {
+		n.t.Errorf("the process took up to %d KiB, the machine has %d", peak, n.memory>>10)
 	}
 	open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", n.cmd.Process.Pid))
 	if err != nil {
@@ -162,6 +165,36 @@
 	n.t.Logf("peak %d KiB, %d descriptors", peak, len(open))
 }
 
+// TestLargestBodyIsRefused guards against limits that a single request inside of those of the bundle
+// meets, on the smallest hosts of the platform.
+func TestLargestBodyIsRefused(t *testing.T) {
+	const memory, body = 184, 64
+	for _, chunked := range []bool{false, true} {
+		n := startHostileNode(t, memory, body)
+		var r io.Reader = bytes.NewReader(make([]byte, body<<20))
+		if chunked {
+			r = io.MultiReader(r)
+		}
+		req, err := http.NewRequest(http.MethodPost, "http://"+n.caller+"/book/", r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Host = "h.example"
+		req.Header.Set("X-Zinniayoke-Request-Id", "largest")
+		req.Header.Set("X-Zinniayoke-Deadline-Ms", "20000")
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if err != nil || resp.StatusCode != http.StatusOK || string(text) != "whole answer to largest" {
+			t.Errorf("chunked %t: got %s %q, %v", chunked, resp.Status, text, err)
+		}
+		n.check()
+	}
+}
+
 // hostileHead begins a request.
 func hostileHead(i int, fields string) string {
 	return fmt.Sprintf("POST /book/ HTTP/1.1\r\nHost: h.example\r\nX-Zinniayoke-Request-Id: hostile%d\r\nX-Zinniayoke-Deadline-Ms: 60000\r\n%s", i, fields)
@@ -231,7 +264,7 @@
 		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			n := startHostileNode(t)
+			n := startHostileNode(t, hostileMemory>>20, hostileBody>>20)
 			var crowd sync.WaitGroup
 			var conns []net.Conn
 			for i := range c.crowd {
@@ -260,7 +293,7 @@
 func TestEndlessAnswersEndNode(t *testing.T) {
 	for _, fault := range []zyfake.WorkerFault{zyfake.WorkerEndlessBody, zyfake.WorkerEndlessHead, zyfake.WorkerEndlessIdle} {
 		t.Run(fmt.Sprint(fault), func(t *testing.T) {
-			n := startHostileNode(t)
+			n := startHostileNode(t, hostileMemory>>20, hostileBody>>20)
 			n.worker.Fault = func(r *zyfake.Request) zyfake.WorkerFault {
 				if strings.HasPrefix(r.ID, "hostile") {
 					return fault
--- a/io/zylistener/listener.go
+++ b/io/zylistener/listener.go
@@ -169,7 +169,7 @@
 	if c.exceeds(n) {
 		_ = c.SetWriteDeadline(time.Now().Add(refusalWriteTime))
 		_, _ = c.Write([]byte(headTooLarge))
-		return 0, ErrHeadTooLarge
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: ErrHeadTooLarge} // net/http adds no response to it.
 	}
 	return n, err //nolint:wrapcheck // The server compares it with io.EOF.
 }
--- a/io/zynode/departure.go
+++ b/io/zynode/departure.go
@@ -180,6 +180,9 @@
 // recallFrom applies what the store knows of the worker's departures. If the store has come back
 // from a copy and may lack some, a node that knows no more goes by other nodes and heartbeats.
 func (n *Node) recallFrom(registry zinniayoke.Registry) {
+	if n.recalled.Load() {
+		return
+	}
 	for _, d := range registry.Departures {
 		n.departureRecords.add(d)
 	}
@@ -191,7 +194,7 @@
 		return
 	}
 	n.informed.Store(true)
-	n.recall(append(registry.Departures, n.departureRecords.list()...))
+	n.recall(slices.Concat(registry.Departures, n.departureRecords.list()))
 }
 
 // ownDepartures returns those departures of the list that are of this host.
--- a/io/zynode/join.go
+++ b/io/zynode/join.go
@@ -67,6 +67,10 @@
 	registry, err := n.discovery.Find(ctx)
 	if err != nil {
 		n.log.With("error", err).Warn("Discovery of other nodes failed.")
+	} else {
+		// Nodes that do not reply must not leave the worker idle for longer.
+		late := time.AfterFunc(memberSyncTimeout, func() { n.recallFrom(registry) })
+		defer late.Stop()
 	}
 	found := registry.Peers
 	unknown := n.unknownAddresses(append(slices.Clone(n.cfg.Settings.Seeds), found...))
@@ -76,10 +80,9 @@
 		n.joined.Store(true)
 	}
 	n.triedJoin.Store(true)
-	switch {
-	case err == nil && !n.recalled.Load():
+	if err == nil {
 		n.recallFrom(registry)
-	case !n.recalled.Load():
+	} else if !n.recalled.Load() {
 		n.recallWithoutDiscovery()
 	}
 	if err == nil && !slices.Contains(found, n.peerAddress) && (synced == 0 || n.isReader()) {
