--- a/io/zylistener/listener_test.go
+++ b/io/zylistener/listener_test.go
@@ -71,11 +71,7 @@
 		if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\nX: "+strings.Repeat("x", 900)+"\r\n\r\n"); err != nil {
 			t.Fatal(err)
 		}
-		resp, err := http.ReadResponse(r, nil)
-		if err != nil {
-			t.Fatal(err)
-		}
-		_, _ = io.Copy(io.Discard, resp.Body)
+		readAnswer(t, r)
 	}
 }
 
@@ -97,8 +93,18 @@
 		t.Error("the oldest connection without a whole head got an answer")
 	}
 	proceed <- true
-	resp, err := http.ReadResponse(bufio.NewReader(served), nil)
-	if err != nil || resp.StatusCode != http.StatusOK {
-		t.Errorf("the request that was being served: %v, %v", resp, err)
+	readAnswer(t, bufio.NewReader(served))
+}
+
+// readAnswer reads the answer to a request that must be served.
+func readAnswer(t *testing.T, r *bufio.Reader) {
+	t.Helper()
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("a request got %s, %v", resp.Status, err)
 	}
 }
