--- /dev/null
+++ b/review/stand-3/grey.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// runGrey has one worker of eight fail a part of its requests with a 503 of its own, after it has
+// begun to work on them. It does not say that it has not run them.
+func runGrey(rec *record, dir string, trouble bool) (verdict, error) {
+	machines := []machineConfig{{"kurume-1", "kurume", "stockroom"}}
+	const grindshops, bookings, failedOf, failed = 8, 240, 100, 40
+	for i := range grindshops {
+		machines = append(machines, machineConfig{fmt.Sprintf("kurume-%d", i+2), "kurume", "grindshop"})
+	}
+	d, err := newDeployment(rec, dir, machines)
+	if err != nil {
+		return notRun, err
+	}
+	defer d.close()
+	if trouble {
+		d.machines[1].w.handle = func(_ *http.Request, id string) (int, string) {
+			if xxhash.Sum64String(id)%failedOf < failed {
+				return http.StatusServiceUnavailable, "the database of the worker is away"
+			}
+			return http.StatusOK, "answer to " + id
+		}
+	}
+	d.store.Put("keyed.op", "config", fmt.Appendf(nil, bookConfig, 3))
+	if err := d.start(); err != nil {
+		return notRun, err
+	}
+	time.Sleep(settleTime)
+	wrong, served := 0, 0
+	for i := range bookings {
+		m := d.machines[i%len(d.machines)]
+		q := request{id: fmt.Sprintf("%016x", 0x1c41d07be2a30000+i), method: http.MethodPost, path: "/book/2f", body: "booking", deadline: 5 * time.Second}
+		a := q.send(m.caller)
+		runs := d.runs(q.id)
+		rec.addf("booking %s sent to %s: answer %d, signature %q, body %q, error %v; it has run %d times", q.id, m.name, a.status, a.signature, a.body, a.err, runs)
+		if (a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests) && runs > 0 {
+			wrong++
+		}
+		if a.status == http.StatusOK {
+			served++
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	rec.addf("%d bookings sent, %d served, %d refused with 503 or 429 that had run", bookings, served, wrong)
+	if wrong > 0 {
+		return broken, nil
+	}
+	if served < bookings/2 {
+		return notRun, fmt.Errorf("only %d of %d bookings were served", served, bookings)
+	}
+	return held, nil
+}
