--- a/review/stand-3/bodies.go
+++ b/review/stand-3/bodies.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -72,11 +73,11 @@
 	}
 }
 
-// runBodies has clients send bookings with large bodies of a legal size, one after the other.
+// runBodies has two clients send bookings with large bodies of a legal size, each one after the other.
 // Without the disruption the bodies have the usual size. No node may need more memory than it has:
 // on a tenth of the machines, two at least, processes must not end three times.
 func runBodies(rec *record, dir string, trouble bool) (verdict, error) {
-	const entries, bookings, large, usual, minEnds, minMachines = 4, 80, 60 << 20, 24 << 10, 3, 2
+	const entries, clients, bookings, large, usual, minEnds, minMachines = 4, 2, 120, 60 << 20, 24 << 10, 3, 2
 	var machines []machineConfig
 	for i := range entries {
 		machines = append(machines, machineConfig{fmt.Sprintf("kurume-%d", i+1), "kurume", "stockroom"})
@@ -103,19 +104,25 @@
 		size = large
 	}
 	body := strings.Repeat("x", size)
-	rec.addf("%d bookings with a body of %d KiB each are sent one after the other; maxBodyBytes is 65536 KiB", bookings, size>>10)
-	served := 0
-	for i := range bookings {
-		m := d.machines[i%entries]
-		q := request{id: fmt.Sprintf("%016x", 0x1c41d07be2a30000+i), method: http.MethodPost, path: "/book/2f", body: body, deadline: 5 * time.Second}
-		a := q.send(m.caller)
-		rec.addf("booking %s sent to %s: answer %d, body %q, error %v; it has run %d times", q.id, m.name, a.status, a.body, a.err, d.runs(q.id))
-		if a.status == http.StatusOK {
-			served++
-		}
-		const pause = 300 * time.Millisecond
-		time.Sleep(pause)
+	rec.addf("%d clients send %d bookings with a body of %d KiB each, one after the other; maxBodyBytes is 65536 KiB", clients, bookings, size>>10)
+	var served atomic.Int64
+	var sending sync.WaitGroup
+	for c := range clients {
+		sending.Go(func() {
+			for i := c; i < bookings; i += clients {
+				m := d.machines[i%entries]
+				q := request{id: fmt.Sprintf("%016x", 0x1c41d07be2a30000+i), method: http.MethodPost, path: "/book/2f", body: body, deadline: 5 * time.Second}
+				a := q.send(m.caller)
+				rec.addf("booking %s sent to %s: answer %d, body %q, error %v; it has run %d times", q.id, m.name, a.status, a.body, a.err, d.runs(q.id))
+				if a.status == http.StatusOK {
+					served.Add(1)
+				}
+				const pause = 300 * time.Millisecond
+				time.Sleep(pause)
+			}
+		})
 	}
+	sending.Wait()
 	close(stop)
 	watching.Wait()
 	often := 0
@@ -125,12 +132,12 @@
 			often++
 		}
 	}
-	rec.addf("%d bookings sent, %d served; on %d machines the process has ended %d times or more", bookings, served, often, minEnds)
+	rec.addf("%d bookings sent, %d served; on %d machines the process has ended %d times or more", bookings, served.Load(), often, minEnds)
 	if often >= minMachines {
 		return broken, nil
 	}
-	if !trouble && served < bookings/2 {
-		return notRun, fmt.Errorf("only %d of %d bookings were served", served, bookings)
+	if !trouble && served.Load() < bookings/2 {
+		return notRun, fmt.Errorf("only %d of %d bookings were served", served.Load(), bookings)
 	}
 	return held, nil
 }
