review: keep cases 13 and 15 inside their limits

Case 15 froze one machine of nine, 0.111 where the site has 0.11, for 3.9 s where it has 3.5 s: now one of ten, for 3.45 s. Case 13 chose what fails by a hash, so that the share was 0.4 on average only: now two of each five requests of the worker fail.

--- a/review/stand-3/freeze.go
+++ b/review/stand-3/freeze.go
@@ -9,20 +9,20 @@
 	"time"
 )
 
-// runFreeze freezes one machine of nine three times, while clients at another machine send bookings
+// runFreeze freezes one machine of ten three times, while clients at another machine send bookings
 // with bodies of a legal size to the service of the frozen one. Requests to other services, at
 // machines that nothing disturbs, must be answered by the time-out of their route, or soon after it.
 func runFreeze(rec *record, dir string, trouble bool) (verdict, error) {
 	const (
-		stockrooms, uploads, size = 8, 4, 8 << 20
+		stockrooms, uploads, size = 9, 4, 8 << 20
 		freezes                   = 3
-		frozenTime, awakeTime     = 1300 * time.Millisecond, 15 * time.Millisecond
+		frozenTime, awakeTime     = 1150 * time.Millisecond, 15 * time.Millisecond
 	)
 	var machines []machineConfig
 	for i := range stockrooms {
 		machines = append(machines, machineConfig{fmt.Sprintf("kurume-%d", i+1), "kurume", "stockroom"})
 	}
-	machines = append(machines, machineConfig{"kurume-9", "kurume", "grindshop"})
+	machines = append(machines, machineConfig{"kurume-10", "kurume", "grindshop"})
 	d, err := newDeployment(rec, dir, machines)
 	if err != nil {
 		return notRun, err
--- a/review/stand-3/grey.go
+++ b/review/stand-3/grey.go
@@ -3,16 +3,15 @@
 import (
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // runGrey has one worker of eight fail a part of its requests with a 503 of its own, after it has
 // begun to work on them. It does not say that it has not run them.
 func runGrey(rec *record, dir string, trouble bool) (verdict, error) {
 	machines := []machineConfig{{"kurume-1", "kurume", "stockroom"}}
-	const grindshops, bookings, failedOf, failed = 8, 240, 100, 40
+	const grindshops, bookings, failedOf, failed = 8, 240, 5, 3
 	for i := range grindshops {
 		machines = append(machines, machineConfig{fmt.Sprintf("kurume-%d", i+2), "kurume", "grindshop"})
 	}
@@ -22,8 +21,9 @@
 	}
 	defer d.close()
 	if trouble {
+		var taken atomic.Int64
 		d.machines[1].w.handle = func(_ *http.Request, id string) (int, string) {
-			if xxhash.Sum64String(id)%failedOf < failed {
+			if n := taken.Add(1) % failedOf; n == failed || n == 0 { // Two of each five, never more.
 				return http.StatusServiceUnavailable, "the database of the worker is away"
 			}
 			return http.StatusOK, "answer to " + id
