core/zyingress: an announcement of another writer names no worker to use

Cause: announcements were believed as far as they could be read. Other fields had the same hole: another instance or address, a missing start, zone or version, and records of other writers in the store's topic of departures.

Change: an announcement counts only if it is complete and names the address of the worker in the settings and a service of the settings or the bundle. The store's departures count only under the key that a node gives them.

--- a/core/zyingress/departure.go
+++ b/core/zyingress/departure.go
@@ -13,7 +13,7 @@
 
 // Departure returns what must be recorded before the announcement is acknowledged, so that it
 // binds later processes of the node as well. ok is false if the announcement does not say that
-// the worker leaves, or is a late one of an earlier run.
+// the worker leaves, or is of an earlier run.
 func (r *Receiver) Departure(a Announcement) (d zinniayoke.Departure, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -23,7 +23,7 @@
 		if r.worker != nil && a.Instance == known.Instance && known.Incarnation != 0 {
 			d.Incarnation = known.Incarnation
 		}
-		return d, a.Instance != ""
+		return d, a.Instance != "" && !r.outlived(a)
 	case a.State == zinniayoke.WorkerDraining && a.Incarnation >= known.Incarnation:
 		d.Sequence = a.Sequence
 		return d, a.Incarnation != 0 || a.Sequence != 0 // Others come from a health check.
--- a/core/zyingress/receiver.go
+++ b/core/zyingress/receiver.go
@@ -55,6 +55,12 @@
 	AnnouncementTTL time.Duration
 	// Service is that of the host by the settings at the start.
 	Service zinniayoke.Service
+	// WorkerAddress is that of the worker by the settings at the start; announcements that name
+	// another one are refused. "" accepts any.
+	WorkerAddress string
+	// Identify asks the worker which of its runs is in progress, by the health check of the
+	// service that a heartbeat names. nil means that heartbeats are believed.
+	Identify func(s zinniayoke.Service) (zinniayoke.Instance, error)
 	// AwaitRecall keeps the worker from getting calls until Recall is called.
 	AwaitRecall bool
 	// FixedLimit derives the concurrency limit from the announced slots instead of
@@ -91,6 +97,8 @@
 	// draining is true once the node is stopping.
 	draining bool
 	service  hostService
+	// confirmed is true if the worker itself has named the current run.
+	confirmed bool
 	// ended is true once this run of the worker has announced, or said in a response, that it
 	// ends.
 	ended bool
--- a/core/zyingress/service.go
+++ b/core/zyingress/service.go
@@ -62,18 +62,3 @@
 		s.name, s.settled = a.Service, true
 	}
 }
-
-// servesUnknown reports whether the announcement begins a run of a service that neither the
-// bundle nor the settings name. Such a worker gets no calls, and must not replace the one that
-// does.
-func (r *Receiver) servesUnknown(a Announcement, newRun bool) bool {
-	if !newRun || a.State != zinniayoke.WorkerServing || a.Service == r.service.name || r.cfg.Bundle == nil {
-		return false
-	}
-	bundle := r.cfg.Bundle()
-	if bundle == nil || len(bundle.Services) == 0 {
-		return false
-	}
-	_, known := bundle.Services[a.Service]
-	return !known
-}
--- a/core/zyingress/worker.go
+++ b/core/zyingress/worker.go
@@ -88,7 +88,8 @@
 
 // HandleAnnouncement updates the state of the worker. It calls connect if the
 // worker is new or its address or number of connections has changed. It reports
-// whether the state has changed in a way that other nodes need to know.
+// whether the state has changed in a way that other nodes need to know. An announcement
+// that is not of the worker of this host changes nothing and returns an *AnnouncementError.
 func (r *Receiver) HandleAnnouncement(a Announcement, connect func(Announcement) zinniayoke.Worker) (bool, error) {
 	if len(a.Instance) > MaxInstance {
 		return false, &AnnouncementError{Field: "instance", Accepted: "1 to 128 bytes"}
@@ -99,16 +100,30 @@
 	if err := a.Check(); err != nil {
 		return false, err
 	}
-	now := time.Now()
+	confirmed, err := r.checkOrigin(a)
+	if err != nil {
+		return false, err
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.isOutdated(a) {
+	replaces := confirmed || r.corrects(a)
+	if !replaces && r.isOutdated(a) {
 		return false, nil
 	}
-	newRun := r.newRun(a)
+	newRun := replaces || r.newRun(a)
 	if err := r.checkRun(a, newRun); err != nil {
 		return false, err
 	}
+	if newRun {
+		r.confirmed = confirmed || a.Sequence == 0 || r.confirmed && a.Instance == r.announcement.Instance
+	}
+	return r.apply(a, newRun, connect), nil
+}
+
+// apply takes in an announcement that counts, and reports whether other nodes need to know. r.mu
+// must be held.
+func (r *Receiver) apply(a Announcement, newRun bool, connect func(Announcement) zinniayoke.Worker) bool {
+	now := time.Now()
 	r.noteHeartbeat(now, a, newRun)
 	r.noteService(now, a, newRun)
 	a.State = r.stateAfter(a, newRun)
@@ -125,17 +140,18 @@
 	if a.State == zinniayoke.WorkerDraining {
 		r.refuseWaiting()
 	}
-	return r.adoptFound(now, a.Notice) || changed, nil
+	return r.adoptFound(now, a.Notice) || changed
 }
 
 // checkRun returns an *AnnouncementError if the announcement must not replace the last one. r.mu
 // must be held.
 func (r *Receiver) checkRun(a Announcement, newRun bool) error {
-	switch {
-	case r.worker != nil && a.Incarnation < r.announcement.Incarnation:
+	switch known := r.announcement; {
+	case newRun:
+	case a.Incarnation < known.Incarnation:
 		return &AnnouncementError{Field: "incarnation", Accepted: "one that is not older than the last"}
-	case r.servesUnknown(a, newRun):
-		return &AnnouncementError{Field: "service", Accepted: "a service of the bundle"}
+	case a.Instance != known.Instance:
+		return &AnnouncementError{Field: "instance", Accepted: "the one that the run has announced before"}
 	}
 	return nil
 }
@@ -230,7 +246,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.worker == nil || r.announcement.Instance != a.Instance {
-		r.addDeparture(zinniayoke.Departure{Instance: a.Instance, Incarnation: a.Incarnation})
+		if !r.outlived(a) {
+			r.addDeparture(zinniayoke.Departure{Instance: a.Instance, Incarnation: a.Incarnation})
+		}
 		return false
 	}
 	if r.ended {
--- a/io/zynode/adapters.go
+++ b/io/zynode/adapters.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"zinniayoke"
 	"zinniayoke/core/zybudget"
@@ -25,9 +24,10 @@
 	UpstreamHandler func(announce func(zyingress.Announcement) error) http.Handler
 	// NewWorker returns a client for a worker that has announced itself.
 	NewWorker func(a zyingress.Announcement) zinniayoke.Worker
-	// FindWorker looks for a worker that is already running when the node starts. If
-	// nil, the node waits for the next announcement of the worker.
-	FindWorker func(ctx context.Context, bundle *zybundle.Bundle) (zyingress.Announcement, error)
+	// FindWorker asks the worker of the host, which is presumed to be of the service, which run
+	// it is and how it does. The instance is set if the worker has named it, even with an error.
+	// If nil, the node waits for announcements, and believes them.
+	FindWorker func(ctx context.Context, bundle *zybundle.Bundle, s zinniayoke.Service) (zyingress.Announcement, error)
 	// BundleSource delivers the bundle in force. If nil, the nodes agree on it
 	// through the shared log.
 	BundleSource BundleSource
@@ -119,24 +119,3 @@
 func (n *Node) hasBundleSource() bool {
 	return n.cfg.Adapters.BundleSource != nil
 }
-
-const findWorkerTimeout = 500 * time.Millisecond
-
-// findWorker looks in the background for a worker that started before the node, so
-// that the worker is not idle until its next announcement.
-func (n *Node) findWorker() {
-	if n.cfg.Adapters.FindWorker == nil {
-		return
-	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), findWorkerTimeout)
-		defer cancel()
-		a, err := n.cfg.Adapters.FindWorker(ctx, n.bundle.Current())
-		if err == nil {
-			err = n.handleAnnouncement(a)
-		}
-		if err != nil {
-			n.log.With("error", err).Info("No running worker was found at startup.")
-		}
-	}()
-}
--- a/io/zynode/departure_registry.go
+++ b/io/zynode/departure_registry.go
@@ -20,8 +20,11 @@
 	recorded map[zinniayoke.Departure]time.Time
 }
 
-// add adds a departure and reports whether it is new.
+// add adds a departure and reports whether it is new. It leaves out incomplete ones.
 func (r *departureRegistry) add(d zinniayoke.Departure) bool {
+	if !d.IsComplete() {
+		return false
+	}
 	now := time.Now()
 	recorded := d.Recorded
 	if recorded.After(now) {
--- a/io/zynode/node.go
+++ b/io/zynode/node.go
@@ -120,6 +120,7 @@
 	settings     atomic.Pointer[zysettings.Settings]
 	retryBudgets *zyattempt.ServiceRetryBudgets
 	leaving      atomic.Bool
+	identity     workerIdentity
 	departures   recordedDepartures
 	// departureRecords are the departures of the workers of all hosts, as far as known.
 	departureRecords departureRegistry
--- a/io/zynode/reload.go
+++ b/io/zynode/reload.go
@@ -29,6 +29,7 @@
 	if s.Worker.Service != old.Worker.Service {
 		n.receiver.SetService(s.Worker.Service)
 	}
+	n.receiver.SetWorkerAddress(s.Worker.Address)
 	n.cfg.Adapters.Budget.SetLimit(int64(s.HeldLimit))
 	if s.Worker.Heartbeat > 0 {
 		n.receiver.SetAnnouncementTTL(s.Worker.Heartbeat * maxMissedHeartbeats)
--- a/io/zynode/request_path.go
+++ b/io/zynode/request_path.go
@@ -97,10 +97,14 @@
 		Locality: n.cfg.Settings.Locality, Resolver: n.view, Links: n.linkBudget, CrossRegionPenalty: n.crossRegionPenalty(), Random: rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1)),
 	})
 	n.retryBudgets = n.newRetryBudgets()
+	var identify func(zinniayoke.Service) (zinniayoke.Instance, error)
+	if n.cfg.Adapters.FindWorker != nil {
+		identify = n.identifyWorker
+	}
 	n.receiver = zyingress.New(zyingress.Config{
 		Node: n.id, Bundle: n.bundle.Current, Fence: n.fence, Grants: n.grants, Quarantine: n.quarantine,
 		Parents: parents, Timer: n.timer, Meter: n.meter, OnCrash: n.broadcastCrashRecords, OnLeaving: n.updateSelf,
-		Service: n.cfg.Settings.Worker.Service, AnnouncementTTL: n.cfg.Settings.Worker.Heartbeat * maxMissedHeartbeats, FixedLimit: n.hasBundleSource(), AwaitRecall: !n.cfg.Settings.Bootstrap,
+		Service: n.cfg.Settings.Worker.Service, WorkerAddress: n.cfg.Settings.Worker.Address, Identify: identify, AnnouncementTTL: n.cfg.Settings.Worker.Heartbeat * maxMissedHeartbeats, FixedLimit: n.hasBundleSource(), AwaitRecall: !n.cfg.Settings.Bootstrap,
 		Recorder: n.recorder, Graph: graph, Callers: callers, RetryBudgets: n.retryBudgets, LoadMeter: n.meter,
 	})
 	n.sender = zyegress.New(zyegress.Config{
@@ -200,6 +204,7 @@
 func (n *Node) handleAnnouncement(a zyingress.Announcement) error {
 	changed, err := n.receiver.HandleAnnouncement(a, n.cfg.Adapters.NewWorker)
 	if err != nil {
+		n.log.With("error", err).With("instance", a.Instance).Info("An announcement was refused.")
 		return fmt.Errorf("worker: %w", err)
 	}
 	if changed {
--- a/platform.go
+++ b/platform.go
@@ -75,6 +75,12 @@
 	Recorded time.Time `codec:"-" json:"recorded"`
 }
 
+// IsComplete reports whether the departure names a run of the worker of a host. An incomplete one
+// was not written by a node and must not end any run.
+func (d *Departure) IsComplete() bool {
+	return d.Host != "" && (d.Instance != "" || d.Incarnation != 0)
+}
+
 // Worker is the application process on the node's host that executes calls.
 type Worker interface {
 	// Run sends the call to the worker and returns its complete response.
