core/zyentry: a worker's status does not promise that a booking has not run

Cause: each response of a worker was written to the client with its status, also without the statement X-Zinniayoke-Not-Executed.

Change: 429, 503, 408 and 421 of a worker become 502 without its signature where the route must not be repeated. The entry node decides this last, for all paths. A worker's own 503 is an error of the worker as its 500 is, for re-sends and load.

--- a/core/zyentry/customer_test.go
+++ b/core/zyentry/customer_test.go
@@ -1,6 +1,7 @@
 package zyentry_test
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -25,6 +26,7 @@
 type fakeNode struct {
 	attempts        []*zinniayoke.Attempt
 	refuse          bool // The node refuses attempts.
+	status          int  // of the worker's response, 0 for 200
 	overLimit       bool
 	taken, returned int
 	limit           zinniayoke.CustomerLimit
@@ -42,7 +44,7 @@
 	}
 	const emptyBodyHash = 0xef46db3751d8e999
 	r.Outcome, r.Delivered = zinniayoke.OutcomeDone, true
-	r.Response = &zinniayoke.Response{Status: http.StatusOK, Attempt: a.ID, Request: a.Request, Hash: emptyBodyHash}
+	r.Response = &zinniayoke.Response{Status: cmp.Or(n.status, http.StatusOK), Attempt: a.ID, Request: a.Request, Hash: emptyBodyHash}
 	return r, nil
 }
 
@@ -83,24 +85,28 @@
 
 func (k keyOwners) Run(_ context.Context, _ zinniayoke.Domain, c *zinniayoke.Call) *zinniayoke.Reply {
 	k.keys = append(k.keys, c.Key)
-	return &zinniayoke.Reply{Outcome: zinniayoke.OutcomeDone}
+	return &zinniayoke.Reply{Outcome: zinniayoke.OutcomeDone, Response: &zinniayoke.Response{Status: cmp.Or(k.status, http.StatusOK)}}
 }
 
 func (keyOwners) ConfirmNotRun(context.Context, zinniayoke.Domain, zinniayoke.Key) bool { return true }
 
 // newEntry returns an entry node in front of the fake.
-func newEntry(n *fakeNode, bundle *zybundle.Bundle, parents *zyparent.Table) *zyentry.Entry {
+func newEntry(n *fakeNode, bundle *zybundle.Bundle, parents *zyparent.Table, options ...func(*zyentry.Config)) *zyentry.Entry {
 	quarantine := zyquarantine.New(zyquarantine.Config{MaxRecords: 10})
 	thresholds := zythreshold.New()
 	current := func() *zybundle.Bundle { return bundle }
-	return zyentry.New(zyentry.Config{
+	cfg := zyentry.Config{
 		Bundle: current, Parents: parents, Thresholds: thresholds, Quarantine: quarantine, Shares: zyrank.NewShares(),
 		CustomerLimits: n, Meter: n, Recorder: n, KeyOwners: keyOwners{n},
 		Sender: zyegress.New(zyegress.Config{
 			Peers: n, Resolver: n, Thresholds: thresholds, RetryBudgets: zyattempt.NewCallerRetryBudgets(), Quarantine: quarantine, Meter: n,
 			Bundle: current, Picker: zybalancer.New(zybalancer.Config{Resolver: n, Random: rand.New(rand.NewPCG(1, 1))}),
 		}),
-	})
+	}
+	for _, option := range options {
+		option(&cfg)
+	}
+	return zyentry.New(cfg)
 }
 
 func customerBundle(t *testing.T, customers ...zybundle.Customer) *zybundle.Bundle {
--- a/core/zyentry/entry.go
+++ b/core/zyentry/entry.go
@@ -94,6 +94,9 @@
 	// Splits chooses the service of routes that are split between several; nil if no
 	// route is split.
 	Splits *zysplit.Chooser
+	// PromisesNotRun reports whether clients take a response with this status as the promise that
+	// the request has not run; nil means that they go by the outcome alone.
+	PromisesNotRun func(status int) bool
 	// NewID returns a new request id; nil means random ids.
 	NewID func() zinniayoke.RequestID
 }
@@ -162,6 +165,7 @@
 	if err != nil {
 		reply = e.replyOf(ctx, cs, err)
 	}
+	reply = e.dropFalsePromise(cs, reply)
 	if reply.Outcome == zinniayoke.OutcomeNotRun && cs.in.Key != "" && !cs.call.KeyFromCaller {
 		// No key owner knows this key, so another call with it may have run.
 		changed := *reply
--- a/core/zyingress/receiver.go
+++ b/core/zyingress/receiver.go
@@ -246,7 +246,7 @@
 	reply.Delivered = delivered
 	if reply.Response != nil && reply.Response.Status >= http.StatusInternalServerError {
 		reply.Detail = r.cfg.Parents.FailureCause(time.Now(), parent)
-		reply.WorkerError = reply.Detail == "" && reply.Response.Status == http.StatusInternalServerError
+		reply.WorkerError = reply.Detail == "" && isWorkerError(reply.Response.Status)
 	}
 	r.updateErrorRate(delivered && reply.WorkerError)
 	r.updateRejectRate(delivered && reply.Outcome == zinniayoke.OutcomeNotRun)
--- a/core/zyingress/receiver_test.go
+++ b/core/zyingress/receiver_test.go
@@ -381,19 +381,23 @@
 // good. Its node must report them and a load at which senders prefer other workers, but only
 // if the bundle asks for it.
 func TestErrorsOfWorkerRaiseItsLoad(t *testing.T) {
-	for _, retryErrors := range []bool{false, true} {
+	for _, c := range []struct {
+		status      int
+		retryErrors bool
+	}{{500, false}, {500, true}, {503, false}, {503, true}} {
 		synctest.Test(t, func(t *testing.T) {
+			retryErrors := c.retryErrors
 			bundle := &zybundle.Bundle{QuarantineFor: time.Minute, RetryErrors: retryErrors}
 			h := newHarness(10, func(cfg *zyingress.Config) { cfg.Bundle = func() *zybundle.Bundle { return bundle } })
 			defer h.stop()
-			h.worker.status = 500
+			h.worker.status = c.status
 			var reply *zinniayoke.Reply
 			for range 10 {
 				reply = h.run("x")
 			}
 			const full = 100
 			if !reply.WorkerError || (reply.Load > full) != retryErrors {
-				t.Errorf("retryErrors %t: error of the worker %t, load %d%%", retryErrors, reply.WorkerError, reply.Load)
+				t.Errorf("status %d, retryErrors %t: error of the worker %t, load %d%%", c.status, retryErrors, reply.WorkerError, reply.Load)
 			}
 		})
 	}
--- a/core/zyingress/reply.go
+++ b/core/zyingress/reply.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"zinniayoke"
@@ -50,8 +51,8 @@
 		reply.Outcome = zinniayoke.OutcomeDone
 		return reply
 	}
-	if refusal := (*zinniayoke.CallError)(nil); errors.As(err, &refusal) && refusal.Outcome == zinniayoke.OutcomeNotRun {
-		return r.errorReply(a, refusal)
+	if statement := (*zinniayoke.CallError)(nil); errors.As(err, &statement) {
+		return r.errorReply(a, statement) // The worker has answered, so it has not crashed.
 	}
 	if !delivered {
 		r.checkCrash()
@@ -70,9 +71,14 @@
 // isTrustedShed reports whether the worker shed the call: it responded with 503, and
 // the bundle declares that a 503 of this service means that the call has not run.
 func (r *Receiver) isTrustedShed(s zinniayoke.Service, response *zinniayoke.Response) bool {
-	const statusShed = 503
 	bundle := r.cfg.Bundle()
-	return response.Status == statusShed && bundle != nil && bundle.Services[s].TrustShed
+	return response.Status == http.StatusServiceUnavailable && bundle != nil && bundle.Services[s].TrustShed
+}
+
+// isWorkerError reports whether a response with this status is an error of the worker itself. A
+// 503 that says that the call has not run is no response.
+func isWorkerError(status int) bool {
+	return status == http.StatusInternalServerError || status == http.StatusServiceUnavailable
 }
 
 // updateRejectRate records whether the worker refused a call that the admission
--- a/io/zynode/adapters.go
+++ b/io/zynode/adapters.go
@@ -22,6 +22,9 @@
 	// UpstreamHandler returns the handler of the port for the worker of this host,
 	// which passes the worker's announcements to announce.
 	UpstreamHandler func(announce func(zyingress.Announcement) error) http.Handler
+	// PromisesNotRun reports whether clients take a response with this status as the promise that
+	// the request has not run; nil means that they go by the outcome alone.
+	PromisesNotRun func(status int) bool
 	// NewWorker returns a client for a worker that has announced itself.
 	NewWorker func(a zyingress.Announcement) zinniayoke.Worker
 	// FindWorker asks the worker of the host, which is presumed to be of the service, which run
--- a/io/zynode/request_path.go
+++ b/io/zynode/request_path.go
@@ -129,7 +129,8 @@
 		Bundle: n.bundle.Current, Parents: parents, Thresholds: thresholds, Sender: n.sender, KeyOwners: n.keyOwners.router(),
 		Quarantine: n.quarantine, Shares: zyrank.NewShares(), Meter: n.meter,
 		Recorder: n.recorder, Graph: graph, Shedder: shedder, CustomerLimits: n.customerLimits.limiter,
-		Splits: zysplit.New(rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), splitSeed))),
+		PromisesNotRun: n.cfg.Adapters.PromisesNotRun,
+		Splits:         zysplit.New(rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), splitSeed))),
 	})
 }
 
