core/zyingress: one odd heartbeat does not end the use of the worker for good

A heartbeat with a later start or a higher sequence than the worker's own made all of these look outdated: the worker was gone once that heartbeat had expired, and never used again. A clock that was set back did the same.

Cause: heartbeats were ordered by start and sequence without an end, though they can be late by ten seconds only.

Change: the order ends once a worker that serves has been silent for longer than heartbeats can be late and announcements are valid. It stays for workers that leave or have left. Two heartbeats that ask the worker at the same time no longer both begin its run.

Evidence: TestLastingOrderOfHeartbeats failed before ("later start": gone) and passes now.

--- a/core/zyingress/announcement_test.go
+++ b/core/zyingress/announcement_test.go
@@ -3,11 +3,57 @@
 import (
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"zinniayoke"
 	"zinniayoke/core/zyingress"
 )
 
+// TestLastingOrderOfHeartbeats guards against a worker that is never used again because one
+// heartbeat had a start or a sequence that it does not reach itself, and against late heartbeats
+// that count.
+func TestLastingOrderOfHeartbeats(t *testing.T) {
+	heartbeat := func(incarnation, sequence int, state zinniayoke.WorkerState) zyingress.Announcement {
+		return zyingress.Announcement{
+			Service: "s", Address: "10.0.0.1:80", Slots: 1, Connections: 1, State: state,
+			Incarnation: zinniayoke.Incarnation(incarnation), Sequence: uint64(sequence), Instance: "a",
+		}
+	}
+	const serving, draining, gone = zinniayoke.WorkerServing, zinniayoke.WorkerDraining, zinniayoke.WorkerGone
+	exit := zyingress.Announcement{State: gone, Instance: "a"}
+	for _, c := range []struct {
+		name  string
+		odd   []zyingress.Announcement
+		after time.Duration
+		state zinniayoke.WorkerState
+		used  bool
+	}{
+		{"later start", []zyingress.Announcement{heartbeat(9, 1, serving)}, zyingress.MaxHeartbeatDelay + time.Second, serving, true},
+		{"higher sequence", []zyingress.Announcement{heartbeat(1, 99, serving)}, zyingress.MaxHeartbeatDelay + time.Second, serving, true},
+		{"later start, late heartbeat", []zyingress.Announcement{heartbeat(9, 1, serving)}, zyingress.MaxHeartbeatDelay - time.Second, gone, false},
+		{"higher sequence, late heartbeat", []zyingress.Announcement{heartbeat(1, 99, serving)}, zyingress.MaxHeartbeatDelay - time.Second, gone, false},
+		{"the worker leaves", []zyingress.Announcement{heartbeat(1, 99, draining)}, time.Minute, gone, false},
+		{"the worker has left", []zyingress.Announcement{heartbeat(1, 99, serving), exit}, time.Minute, gone, false},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			h := newHarnessWithoutWorker()
+			defer h.stop()
+			connect := func(zyingress.Announcement) zinniayoke.Worker { return h.worker }
+			for _, a := range c.odd {
+				if _, err := h.HandleAnnouncement(a, connect); err != nil {
+					t.Fatalf("%s: %v", c.name, err)
+				}
+			}
+			time.Sleep(c.after)
+			_, _ = h.HandleAnnouncement(heartbeat(1, 2, serving), connect) // A late one returns an error.
+			known, state := h.Worker()
+			if used := known.Incarnation == 1 && known.Sequence == 2; used != c.used || state != c.state {
+				t.Errorf("%s: got %+v, state %s; want it to count: %t, state %s", c.name, known, state, c.used, c.state)
+			}
+		})
+	}
+}
+
 // TestAnnouncementsInAnyOrder checks the state of a worker after announcements that
 // arrive late, in the wrong order or mixed with the result of a probe.
 func TestAnnouncementsInAnyOrder(t *testing.T) {
--- a/core/zyingress/origin.go
+++ b/core/zyingress/origin.go
@@ -76,14 +76,27 @@
 // is known, and the worker can be asked about it. A late one of an earlier run needs no question.
 // r.mu must be held.
 func (r *Receiver) namesOtherRun(a Announcement) bool {
-	switch {
-	case r.cfg.Identify == nil || a.Sequence == 0:
+	if r.cfg.Identify == nil || a.Sequence == 0 {
 		return false
-	case r.worker == nil:
-		return true
 	}
 	late := a.Incarnation < r.announcement.Incarnation && r.confirmed && r.inUse(time.Now())
-	return a.Instance != r.announcement.Instance && !late
+	return r.isOtherInstance(a) && !late
+}
+
+// isOtherInstance reports whether the announcement is not of the instance that the last one was
+// of. r.mu must be held.
+func (r *Receiver) isOtherInstance(a Announcement) bool {
+	return r.worker == nil || a.Instance != r.announcement.Instance
+}
+
+// noteConfirmation updates confirmed for an announcement that counts. r.mu must be held.
+func (r *Receiver) noteConfirmation(a Announcement, confirmed bool) {
+	switch {
+	case confirmed || a.Sequence == 0: // A health check is an answer of the worker.
+		r.confirmed = true
+	case r.isOtherInstance(a):
+		r.confirmed = false
+	}
 }
 
 // outlived reports whether the worker has named another run than the one that this announcement
--- a/core/zyingress/worker.go
+++ b/core/zyingress/worker.go
@@ -106,7 +106,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	replaces := confirmed || r.corrects(a)
+	replaces := confirmed && r.isOtherInstance(a) || r.corrects(a)
 	if !replaces && r.isOutdated(a) {
 		return false, nil
 	}
@@ -114,9 +114,7 @@
 	if err := r.checkRun(a, newRun); err != nil {
 		return false, err
 	}
-	if newRun {
-		r.confirmed = confirmed || a.Sequence == 0 || r.confirmed && a.Instance == r.announcement.Instance
-	}
+	r.noteConfirmation(a, confirmed)
 	return r.apply(a, newRun, connect), nil
 }
 
@@ -159,6 +157,9 @@
 // isOutdated reports whether a later announcement of the same run has already
 // arrived, or the run has announced that it ends. r.mu must be held.
 func (r *Receiver) isOutdated(a Announcement) bool {
+	if r.orderExpired() {
+		return false
+	}
 	if a.Incarnation == r.announcement.Incarnation && a.Sequence != 0 && a.Sequence <= r.announcement.Sequence {
 		return true
 	}
@@ -176,9 +177,21 @@
 	if discovered && r.departureOf(r.announcement) != nil && r.departureOf(a) == nil {
 		return true // The run that the probe was taken for has left, and this is a later one.
 	}
+	if a.Incarnation < r.announcement.Incarnation {
+		return a.Sequence != 0 && r.orderExpired()
+	}
 	return a.Incarnation > r.announcement.Incarnation && !discovered
 }
 
+// orderExpired reports whether a heartbeat that arrives now was sent after the last one that
+// counted, whatever its start and its sequence say: the worker serves, and has been silent for
+// longer than heartbeats can be late. r.mu must be held.
+func (r *Receiver) orderExpired() bool {
+	silent := time.Since(r.announcedAt)
+	return r.worker != nil && !r.ended && r.announcement.State == zinniayoke.WorkerServing &&
+		silent > r.cfg.AnnouncementTTL && silent > MaxHeartbeatDelay
+}
+
 // stateAfter returns the state of the worker after the announcement. r.mu must be held.
 func (r *Receiver) stateAfter(a Announcement, newRun bool) zinniayoke.WorkerState {
 	if newRun {
--- a/io/zynode/identity.go
+++ b/io/zynode/identity.go
@@ -31,7 +31,9 @@
 		return
 	}
 	go func() {
+		n.identity.mu.Lock()
 		a, err := n.askWorker(n.receiver.Service())
+		n.identity.mu.Unlock()
 		if err == nil {
 			err = n.handleAnnouncement(a)
 		}
@@ -44,29 +46,20 @@
 // identifyWorker returns the instance that the worker has named within identityPeriod. It asks if
 // there is no such answer.
 func (n *Node) identifyWorker(s zinniayoke.Service) (zinniayoke.Instance, error) {
-	known := &n.identity
-	known.mu.Lock()
-	fresh := time.Since(known.asked) < identityPeriod
-	instance, err := known.instance, known.err
-	known.mu.Unlock()
-	if fresh {
-		return instance, err
-	}
-	a, err := n.askWorker(s)
-	if a.Instance != "" {
-		err = nil
+	n.identity.mu.Lock()
+	defer n.identity.mu.Unlock()
+	if time.Since(n.identity.asked) >= identityPeriod {
+		_, _ = n.askWorker(s) // What counts is kept.
 	}
-	return a.Instance, err
+	return n.identity.instance, n.identity.err
 }
 
-// askWorker makes a health check of the worker. Questions that come meanwhile wait for it.
+// askWorker makes a health check of the worker and keeps the answer. n.identity.mu must be held.
 func (n *Node) askWorker(s zinniayoke.Service) (zyingress.Announcement, error) {
-	known := &n.identity
-	known.mu.Lock()
-	defer known.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), findWorkerTimeout)
 	defer cancel()
 	a, err := n.cfg.Adapters.FindWorker(ctx, n.bundle.Current(), s)
+	known := &n.identity
 	known.asked, known.instance, known.err = time.Now(), a.Instance, nil
 	if a.Instance == "" {
 		known.err = fmt.Errorf("the worker names no instance: %w", err)
